--- /dev/null
+++ b/src/bin/linenflow-benchlink/world.rs
@@ -0,0 +1,280 @@
+//! All instances of one process, each with a sender and interning of its own.
+use crate::wire::{self, Input, ListKind, Mode, Output, Readiness, RepeatWord, Status};
+use linenflow::*;
+use std::collections::HashMap;
+
+/// The process: instances by number and the catalog pages they refer to.
+#[derive(Default)]
+pub struct World {
+    instances: HashMap<u64, Instance>,
+    pages: HashMap<u64, Vec<wire::Row>>,
+}
+
+struct Instance {
+    sender: Sender,
+    classes: HashMap<String, ClassId>,
+    ordered: Vec<bool>,
+    tenants: HashMap<String, TenantId>,
+    kinds: HashMap<String, KindId>,
+    zones: HashMap<String, ZoneId>,
+    endpoints: HashMap<String, EndpointId>,
+    names: Vec<String>,
+    left_at: Option<usize>,
+    limit_at: Option<usize>,
+}
+
+fn index<T>(names: impl Iterator<Item = String>, make: fn(usize) -> T) -> HashMap<String, T> {
+    names.enumerate().map(|(i, name)| (name, make(i))).collect()
+}
+
+fn look<T: Copy>(table: &HashMap<String, T>, name: &str, what: &str) -> Result<T, String> {
+    table.get(name).copied().ok_or_else(|| format!("unknown {what} {name:?}"))
+}
+
+fn settings(p: &wire::Profile, zones: &HashMap<String, ZoneId>) -> Result<Settings, String> {
+    let class = |lane: &wire::Lane| -> Result<Class, String> {
+        let repeat = match lane.repeat {
+            RepeatWord::Retryable => Repeat::Safe,
+            RepeatWord::Fragile => Repeat::Unsafe,
+            RepeatWord::Dedup => Repeat::Keyed {
+                group: match lane.group.as_deref() {
+                    Some("all") => Group::All,
+                    // A cell is one destination here, so its zone's part is always inside it.
+                    Some("zone" | "cell") => Group::Zone,
+                    other => return Err(format!("class {:?}: unknown group {other:?}", lane.name)),
+                },
+                window: Span(lane.key_ttl.ok_or("a keyed class lacks key_ttl")?),
+            },
+        };
+        Ok(Class {
+            aim: Span(lane.aim),
+            deadline: Span(lane.hard_limit),
+            worth: lane.worth,
+            late_worth: lane.late_value,
+            repeat,
+            ordered: lane.fifo_by_key.unwrap_or(false),
+        })
+    };
+    let s = &p.specifics;
+    let kinds = (0..p.kinds.len())
+        .map(|i| Kind {
+            routes_apart: s.kind_apart.as_ref().and_then(|v| v.get(i)).copied().unwrap_or(false),
+            batch: s.bundle_max.as_ref().and_then(|v| v.get(i)).copied().unwrap_or(1),
+        })
+        .collect();
+    let r = &p.invariants;
+    Ok(Settings {
+        classes: p.lanes.iter().map(class).collect::<Result<_, _>>()?,
+        kinds,
+        tenants: p.tenants.iter().map(|t| Tenant { allowance_per_s: t.allowance_per_s }).collect(),
+        over_share_worth: p.over_share_worth.unwrap_or(1.0),
+        zone: look(zones, &p.zone, "zone")?,
+        senders: p.fleet_size,
+        slots: s.max_calls,
+        most_held: p.limits.most_held,
+        max_attempts: p.limits.max_attempts,
+        period: Span(p.period),
+        connect_timeout: Span(p.limits.connect_timeout),
+        decay: if s.decay.as_deref() == Some("by_half") { Decay::Halves } else { Decay::Even },
+        discovery: match p.discovery {
+            Mode::Pushed => Discovery::Pushed,
+            Mode::OnRequest => Discovery::OnRequest,
+        },
+        hints: if p.weights == "none" { Hints::None } else { Hints::CallsPerSecond },
+        probes: p.limits.probes,
+        cancel: p.limits.cancel,
+        rules: Rules {
+            drain_grace: Span(r.drain_grace),
+            cold_share: r.cold_share,
+            ramp: Span(r.ramp_time),
+            overload_factor: r.overload_factor,
+            fall: Span(r.fall),
+            order_settle: Span(r.order_settle.unwrap_or(0)),
+            must_ask_in: Span(r.must_ask_in.unwrap_or(0)),
+        },
+    })
+}
+
+fn outcome(status: Status, detail: Option<f64>) -> Outcome {
+    match status {
+        Status::Success => Outcome::Success,
+        Status::Failure => Outcome::Failure,
+        Status::Overloaded => {
+            let wait = detail.filter(|ms| *ms > 0.0);
+            Outcome::Full(wait.map(|ms| Span((ms * 1000.0).ceil() as u64)))
+        }
+        Status::TimedOut => Outcome::TimedOut,
+        Status::Unreachable => Outcome::ConnectFailed,
+        Status::Broken => Outcome::Reset,
+        Status::Withdrawn => Outcome::Cancelled,
+        Status::Void => Outcome::Void,
+    }
+}
+
+impl Instance {
+    fn new(seed: u64, p: &wire::Profile) -> Result<Self, String> {
+        let zones = index(p.azs.iter().cloned(), ZoneId);
+        let settings = settings(p, &zones)?;
+        let at = |name| p.report.names.iter().position(|n| n == name);
+        Ok(Self {
+            ordered: settings.classes.iter().map(|c| c.ordered).collect(),
+            sender: Sender::new(settings, seed).map_err(|e| e.to_string())?,
+            classes: index(p.lanes.iter().map(|l| l.name.clone()), ClassId),
+            tenants: index(p.tenants.iter().map(|t| t.name.clone()), TenantId),
+            kinds: index(p.kinds.iter().cloned(), KindId),
+            zones,
+            endpoints: HashMap::new(),
+            names: Vec::new(),
+            left_at: at("x0"),
+            limit_at: at("x1"),
+        })
+    }
+
+    fn entries(&mut self, rows: &[wire::Row]) -> Result<Vec<Entry>, String> {
+        let mut list = Vec::with_capacity(rows.len());
+        for row in rows {
+            let endpoint = match self.endpoints.get(&row.endpoint) {
+                Some(known) => *known,
+                None => {
+                    let new = EndpointId(self.names.len() as u32);
+                    self.names.push(row.endpoint.clone());
+                    self.endpoints.insert(row.endpoint.clone(), new);
+                    new
+                }
+            };
+            list.push(Entry {
+                endpoint,
+                destination: DestinationId(row.dest),
+                kind: look(&self.kinds, &row.flavor, "kind")?,
+                zone: look(&self.zones, &row.rack_zone, "zone")?,
+                listing: match row.readiness {
+                    Readiness::Active => Listing::Active,
+                    Readiness::Leaving => Listing::Draining,
+                    Readiness::Left => Listing::Removed,
+                },
+                hint: row.power_hint.unwrap_or(0.0),
+            });
+        }
+        Ok(list)
+    }
+
+    fn event(&mut self, input: Input, pages: &HashMap<u64, Vec<wire::Row>>) -> Result<Option<Event>, String> {
+        Ok(Some(match input {
+            Input::Discovery { kind: ListKind::Broken, .. } => Event::ListFailed,
+            Input::Discovery { kind, page } => {
+                let page = page.ok_or("discovery without a page")?;
+                let rows = pages.get(&page).ok_or_else(|| format!("unknown catalog page {page}"))?;
+                let list = self.entries(rows)?;
+                match kind {
+                    ListKind::Patch => Event::ListChanges(list),
+                    _ => Event::FullList(list),
+                }
+            }
+            Input::Ask { job, realm, subject, service, time_budget, dest } => {
+                let class = look(&self.classes, &service, "class")?;
+                let tenant = match realm {
+                    Some(wire::Name::Text(name)) => Some(look(&self.tenants, &name, "tenant")?),
+                    Some(wire::Name::Number(0)) | None => None,
+                    Some(wire::Name::Number(n)) => return Err(format!("unknown tenant {n}")),
+                };
+                let key = match subject.filter(|_| self.ordered[class.0]) {
+                    Some(text) => {
+                        let key = u64::from_str_radix(&text, 16).map_err(|_| format!("bad key {text:?}"))?;
+                        Some(OrderKey(key))
+                    }
+                    None => None,
+                };
+                Event::Message(Message {
+                    id: MessageId(job),
+                    class,
+                    tenant,
+                    key,
+                    destination: DestinationId(dest),
+                    budget: Span(time_budget),
+                })
+            }
+            Input::ReportBack { job, attempt, result, lag, last, detail, stats } => {
+                let value = |at: Option<usize>| at.and_then(|i| stats.as_ref()?.get(i)).copied();
+                let report = match (value(self.left_at), value(self.limit_at)) {
+                    (None, None) => None,
+                    (left, limit) => Some(Report { left: left.unwrap_or(1.0), limit: limit.unwrap_or(0.0) }),
+                };
+                Event::Ended {
+                    message: MessageId(job),
+                    attempt,
+                    outcome: outcome(result, detail),
+                    elapsed: Span(lag),
+                    last,
+                    report,
+                }
+            }
+            Input::Vanished { job } => Event::Withdrawn(MessageId(job)),
+            Input::Bell {} => Event::Woken,
+            Input::Checked { endpoint, result } => Event::Checked {
+                endpoint: look(&self.endpoints, &endpoint, "endpoint")?,
+                outcome: outcome(result, None),
+            },
+            _ => return Ok(None),
+        }))
+    }
+
+    fn output(&self, action: Action) -> Output {
+        let name = |endpoint: EndpointId| self.names[endpoint.0 as usize].clone();
+        match action {
+            Action::Send { message, endpoint, expires } => {
+                Output::Forward { job: message.0, endpoint: name(endpoint), expire_at: expires.0 }
+            }
+            Action::Cancel { message, attempt } => Output::StopAttempt { job: message.0, attempt },
+            Action::Refuse(id) => Output::Busy { job: id.0 },
+            Action::Fail(id) => Output::Fail { job: id.0 },
+            Action::WakeIn(span) => Output::WakeMe { after: span.0, mark: "wake" },
+            Action::Subscribe => Output::Subscribe { on: true },
+            Action::FetchList => Output::ListAll {},
+            Action::Probe(endpoint) => Output::SoundOut { endpoint: name(endpoint) },
+            Action::CloseIdle(endpoint) => Output::CloseIdle { endpoint: name(endpoint) },
+            Action::Log(words) => Output::WriteLog { words },
+        }
+    }
+}
+
+impl World {
+    /// Takes in one batch and answers it.
+    pub fn answer(&mut self, batch: wire::Batch) -> Result<wire::Reply, String> {
+        let mut senders = Vec::new();
+        for group in batch.senders {
+            let mut events = Vec::new();
+            for (place, input) in group.input.into_iter().enumerate() {
+                let at = |e: String| format!("sender {}, input {place}: {e}", group.sender);
+                match input {
+                    Input::Catalog { page, entries } => {
+                        self.pages.insert(page, entries);
+                    }
+                    Input::Down {} => {
+                        self.instances.remove(&group.sender);
+                        events.clear();
+                    }
+                    Input::Start { rng_seed, profile_data } => {
+                        let new = Instance::new(rng_seed, &profile_data).map_err(at)?;
+                        self.instances.insert(group.sender, new);
+                        events.clear();
+                    }
+                    other => {
+                        let instance = self.instances.get_mut(&group.sender);
+                        let instance = instance.ok_or_else(|| at("unknown instance".into()))?;
+                        events.extend(instance.event(other, &self.pages).map_err(at)?);
+                    }
+                }
+            }
+            let Some(instance) = self.instances.get_mut(&group.sender) else {
+                continue;
+            };
+            let mut actions = Vec::new();
+            instance.sender.step(Time(batch.sim_time), &events, &mut actions);
+            let actions: Vec<Output> = actions.into_iter().map(|a| instance.output(a)).collect();
+            if !actions.is_empty() {
+                senders.push(wire::Answer { sender: group.sender, actions });
+            }
+        }
+        Ok(wire::Reply { serial: batch.serial, senders })
+    }
+}
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,162 @@
+//! One small test for each failure that an incident or a hunt has shown.
+mod common;
+use common::*;
+use linenflow::*;
+
+/// Delivers one message each at the given endpoints' destination, 100 ms apart, with a good answer.
+fn warm_up(host: &mut Host, id: u32, class: ClassId, d: u64, count: u32) {
+    for n in 0..count {
+        let actions = host.message(id + n, class, d);
+        host.now += 100_000;
+        if sent(&actions, id + n).is_some() {
+            host.ended(id + n, 0, Outcome::Success);
+        }
+    }
+}
+
+/// One silent call does not close a slow but live partner (incident if4aebe).
+#[test]
+fn one_time_out_closes_nothing() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 1, 0)]);
+    warm_up(&mut host, 0, SAFE, 1, 5);
+    host.message(50, SAFE, 1);
+    host.now += 3 * SECOND;
+    host.ended(50, 0, Outcome::TimedOut);
+    let events: Vec<Event> = (60..63).map(|id| message(id, SAFE, 1, None)).collect();
+    assert_eq!(host.step(&events).len(), 3);
+}
+
+/// Failures of part of the calls do not count as an outage (incident i91fa18), but spare unsafe messages.
+#[test]
+fn partial_failure_holds_back_only_unsafe_messages() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 1, 0)]);
+    warm_up(&mut host, 0, SAFE, 1, 5);
+    for (id, outcome) in (20..28).zip([Outcome::Reset, Outcome::Reset, Outcome::Success].into_iter().cycle())
+    {
+        host.message(id, KEYED_ALL, 1);
+        host.now += 50_000;
+        host.step(&[ended(id, 0, outcome), Event::Withdrawn(MessageId(id))]);
+    }
+    assert!(host.message(40, UNSAFE, 1).is_empty());
+    assert_eq!(sent(&host.message(41, SAFE, 1), 41), Some(0));
+    // What is not seen again is forgotten: the unsafe message goes well before its time is up.
+    host.ended(41, 0, Outcome::Success);
+    let run = host.run(15 * SECOND);
+    assert!(sent_at(&run, 40).is_some(), "{run:?}");
+}
+
+/// A silent endpoint leaves the live one of its destination alone (big-2 of the third deployment).
+#[test]
+fn one_silent_endpoint_does_not_close_a_shared_destination() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 0, 0), entry(1, 1, 0, 1)]);
+    warm_up(&mut host, 100, SAFE, 1, 6);
+    host.now += 100_000;
+    let sends: Vec<Event> = (0..4).map(|id| message(id, SAFE, 1, None)).collect();
+    let actions = host.step(&sends);
+    let on_first: Vec<u32> = (0..4).filter(|id| sent(&actions, *id) == Some(0)).collect();
+    assert!(!on_first.is_empty() && on_first.len() < 4);
+    host.now += 3 * SECOND;
+    let outcomes: Vec<Event> = (0..4)
+        .map(|id| ended(id, 0, if on_first.contains(&id) { Outcome::TimedOut } else { Outcome::Success }))
+        .collect();
+    host.step(&outcomes);
+    assert_eq!(sent(&host.message(10, SAFE, 1), 10), Some(1));
+}
+
+/// With its last endpoint a shared destination is out as one: no trial at each endpoint (incident i7311cc,
+/// where many senders' trials together broke the recovery rule).
+#[test]
+fn the_last_endpoint_closes_a_shared_destination() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 0, 0), entry(1, 1, 0, 1)]);
+    let mut attempts = std::collections::BTreeMap::new();
+    let mut sends = Vec::new();
+    let mut out: Vec<u32> = Vec::new();
+    for id in 0..40 {
+        out.extend([id]);
+        host.step(&[message(id, SAFE, 1, None)]).iter().for_each(|a| {
+            if let Action::Send { message, .. } = a {
+                attempts.insert(message.0, 0);
+                sends.push(host.now);
+            }
+        });
+    }
+    let start = host.now;
+    while host.now < start + 12 * SECOND {
+        host.now += 100_000;
+        let events: Vec<Event> =
+            attempts.iter().map(|(id, n)| ended(*id, *n, Outcome::ConnectFailed)).collect();
+        let before = std::mem::take(&mut attempts);
+        for action in host.step(&events) {
+            if let Action::Send { message, .. } = action {
+                attempts.insert(message.0, before.get(&message.0).map_or(0, |n| n + 1));
+                sends.push(host.now);
+            }
+        }
+        // Attempt numbers of messages not out are learned again from the next send; stale outcomes are ignored.
+        assert!(host.now < start + 4 * SECOND || attempts.len() <= 1, "one call at a time");
+    }
+    assert!(sends.iter().filter(|at| **at > start + 4 * SECOND).count() <= 8);
+}
+
+/// Refusals at a low rate do not stop a sender for seconds where the limit is told.
+#[test]
+fn a_refusal_paces_by_the_told_limit() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 0, 0)]);
+    host.message(1, SAFE, 1);
+    let report = Some(Report { left: 0.0, limit: 20.0 });
+    let Event::Ended { message, attempt, outcome, elapsed, last, .. } = ended(1, 0, Outcome::Full(None))
+    else {
+        unreachable!()
+    };
+    host.step(&[Event::Ended { message, attempt, outcome, elapsed, last, report }]);
+    let run = host.run(SECOND);
+    assert!(sent_at(&run, 1).is_some(), "half an equal part of 20 a second is 5 a second");
+}
+
+/// A time-out is bounded however long the learned answers are (incident idc117d).
+#[test]
+fn time_outs_stay_bounded() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 1, 0)]);
+    for id in 0..10 {
+        host.message(id, SAFE, 1);
+        host.now += if id % 2 == 0 { 4 * SECOND } else { SECOND };
+        host.ended(id, 0, Outcome::Success);
+    }
+    let actions = host.message(50, SAFE, 1);
+    let [Action::Send { expires, .. }] = actions[..] else { panic!("{actions:?}") };
+    assert!(expires.0 <= host.now + 5 * SECOND);
+}
+
+/// Dead idle connections swallow calls (incidents i693fa0, i779a0d): closed after silence, and no endpoint's
+/// connections are used that have been idle for as long, until trust has grown again.
+#[test]
+fn idle_connections_are_not_trusted_after_a_lost_call() {
+    let closes = |actions: &[Action], e: u32| {
+        let close = actions.iter().position(|a| *a == Action::CloseIdle(EndpointId(e)));
+        let send = actions.iter().position(|a| matches!(a, Action::Send { .. }));
+        close.is_some() && (send.is_none() || close < send)
+    };
+    let mut host = Host::new(settings(), vec![entry(1, 0, 1, 0), entry(2, 1, 1, 0)]);
+    warm_up(&mut host, 0, SAFE, 1, 3);
+    warm_up(&mut host, 10, SAFE, 2, 3);
+    host.now += 2 * SECOND;
+    assert!(!closes(&host.raw(&[message(20, SAFE, 2, None)]), 1), "trusted so far");
+    host.now += 100_000;
+    host.ended(20, 0, Outcome::Success);
+    host.raw(&[message(30, SAFE, 1, None)]);
+    host.now += 3 * SECOND;
+    assert!(closes(&host.raw(&[ended(30, 0, Outcome::TimedOut)]), 0), "closed after silence");
+    assert!(closes(&host.raw(&[message(31, SAFE, 2, None)]), 1), "idle for as long: closed before use");
+    host.now += 100_000;
+    host.ended(31, 0, Outcome::Success);
+    assert!(!closes(&host.raw(&[message(32, SAFE, 2, None)]), 1), "just answered: kept");
+    host.now += 100_000;
+    host.ended(32, 0, Outcome::Success);
+    host.run(30 * SECOND);
+    host.now += SECOND;
+    host.raw(&[message(33, SAFE, 2, None)]);
+    host.now += 100_000;
+    host.ended(33, 0, Outcome::Success);
+    host.now += 3 * SECOND;
+    assert!(!closes(&host.raw(&[message(34, SAFE, 2, None)]), 1), "trusted again");
+}
