--- a/src/bin/linenflow-benchlink/main.rs
+++ b/src/bin/micadrum-adapter/main.rs
@@ -34,7 +34,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
-            eprintln!("linenflow-benchlink: {}", what.replace('\n', " "));
+            eprintln!("micadrum-adapter: {}", what.replace('\n', " "));
             ExitCode::FAILURE
         }
     }
--- a/src/bin/linenflow-benchlink/world.rs
+++ b/src/bin/micadrum-adapter/world.rs
@@ -1,6 +1,6 @@
 //! All instances of one process, each with a sender and interning of its own.
 use crate::wire::{self, Input, ListKind, Mode, Output, Readiness, RepeatWord, Status};
-use linenflow::*;
+use micadrum::*;
 use std::collections::HashMap;
 
 /// The process: instances by number and the catalog pages they refer to.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,9 @@
-//! linenflow decides what a delivery service does with each outbound message: when to send it, where,
+//! micadrum decides what a delivery service does with each outbound message: when to send it, where,
 //! whether to try again, and when to give up. It performs no I/O and reads no clock: a host feeds
 //! [`Event`]s to [`Sender::step`] and carries out the [`Action`]s.
 //!
 //! ```
-//! use linenflow::*;
+//! use micadrum::*;
 //! let second = 1_000_000;
 //! let settings = Settings {
 //!     classes: vec![Class {
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -3,7 +3,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_linenflow-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_micadrum-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Helpers shared by the tests of the module: settings, a list, and a host that keeps the clock.
 #![allow(dead_code)]
-use linenflow::*;
+use micadrum::*;
 
 pub const SECOND: u64 = 1_000_000;
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1,7 +1,7 @@
 //! One small test for each failure that an incident or a hunt has shown.
 mod common;
 use common::*;
-use linenflow::*;
+use micadrum::*;
 
 /// Delivers one message each at the given endpoints' destination, 100 ms apart, with a good answer.
 fn warm_up(host: &mut Host, id: u32, class: ClassId, d: u64, count: u32) {
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -2,7 +2,7 @@
 //! action, and every message ends exactly once. Outcomes are drawn blindly; nothing here models a server.
 mod common;
 use common::*;
-use linenflow::*;
+use micadrum::*;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,7 +1,7 @@
 //! Each rule from both sides, and the outcomes by kind of message.
 mod common;
 use common::*;
-use linenflow::*;
+use micadrum::*;
 
 const MAY_HAVE_RUN: [Outcome; 4] = [Outcome::Failure, Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled];
 const NEVER_RAN: [Outcome; 4] =
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -1,7 +1,7 @@
 //! One small test for each failure shown at full size: hundreds of senders, each with a trickle.
 mod common;
 use common::*;
-use linenflow::*;
+use micadrum::*;
 
 fn many_senders() -> Settings {
     Settings { senders: 300, slots: 4, ..settings() }
