--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -427,3 +427,60 @@
         Some(Report { left: left.unwrap_or(1.0), limit: limit.unwrap_or(0.0) })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::{TcpListener, TcpSocket};
+
+    fn post(to: SocketAddr) -> Builder {
+        request(Method::POST, "/hook", to)
+    }
+
+    /// Guards against taking a call for one that may have run though its last byte was never written: the
+    /// peer takes some of a body that no buffer on the way holds whole, and breaks off.
+    #[tokio::test]
+    async fn a_break_before_the_last_byte_is_known() {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(1).unwrap();
+        let address = listener.local_addr().unwrap();
+        let peer = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.read_exact(&mut [0; 100]).await.unwrap();
+        };
+        let mut connection = Connection::open(address, Duration::from_secs(20)).await.unwrap();
+        let body = Bytes::from(vec![b'x'; 64 << 20]);
+        let (answer, ()) = tokio::join!(connection.send(post(address), body), peer);
+        assert!(matches!(answer, Err(CallError::Unsent(_))), "{answer:?}");
+    }
+
+    /// Guards against the opposite: read whole and then broken off, it may have run, also where the
+    /// connection had carried a call before.
+    #[tokio::test]
+    async fn a_break_after_the_last_byte_is_known() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let peer = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut got = Vec::new();
+            for answer in [&b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"[..], b""] {
+                while !got.ends_with(b"\r\n\r\nwhole") {
+                    stream.read_buf(&mut got).await.unwrap();
+                }
+                got.clear();
+                stream.write_all(answer).await.unwrap();
+            }
+        };
+        let calls = async {
+            let mut connection = Connection::open(address, Duration::from_secs(20)).await.unwrap();
+            let first = connection.send(post(address), "whole".into()).await;
+            assert!(first.unwrap().into_body().collect().await.is_ok());
+            connection.send(post(address), "whole".into()).await
+        };
+        let (second, ()) = tokio::join!(calls, peer);
+        assert!(matches!(second, Err(CallError::Reset(_))), "{second:?}");
+    }
+}
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -307,3 +307,113 @@
         StoreError { path: self.path.clone(), doing, source }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const DISK: u64 = 3_000_000;
+
+    fn message(id: &str, body: usize) -> Owed {
+        Owed {
+            id: id.to_owned(),
+            class: "charge".to_owned(),
+            tenant: None,
+            key: None,
+            idempotency_key: None,
+            destination: 7,
+            deadline: 1,
+            body: vec![b'x'; body].into(),
+            attempts: 0,
+            ran: None,
+            out: None,
+            end: None,
+        }
+    }
+
+    fn attempt(at: u64) -> Attempt {
+        Attempt { at, zone: "a".to_owned() }
+    }
+
+    fn ids(store: &Store) -> Vec<&str> {
+        store.owed().map(|(_, owed)| owed.id.as_str()).collect()
+    }
+
+    /// Guards against forgetting, over a restart, which attempt may have run first.
+    #[test]
+    fn a_reopened_journal_tells_how_far_each_message_got() {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut store, _) = Store::open(folder.path(), DISK).unwrap();
+        let numbers: Vec<u32> = ["a", "b", "c"].map(|id| store.take_on(message(id, 10)).unwrap()).into();
+        for at in [5, 6, 7] {
+            store.begin(numbers[0], attempt(at)).unwrap();
+            store.outcome(numbers[0], at > 5).unwrap();
+        }
+        store.begin(numbers[1], attempt(8)).unwrap();
+        store.over(numbers[2]).unwrap();
+        drop(store);
+        let (mut store, damage) = Store::open(folder.path(), DISK).unwrap();
+        assert_eq!((ids(&store), damage), (vec!["a", "b"], Damage::default()));
+        let a = store.get(numbers[0]).unwrap();
+        assert_eq!((a.attempts, &a.ran, &a.out), (3, &Some(attempt(6)), &None));
+        assert_eq!(store.get(numbers[1]).unwrap().out, Some(attempt(8)));
+        assert!(store.take_on(message("d", 1)).unwrap() > numbers[1]);
+    }
+
+    /// Guards against a start that fails, or loses sound records, over a torn tail or a damaged middle.
+    #[test]
+    fn damage_costs_no_more_than_the_damaged_record() {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut store, _) = Store::open(folder.path(), DISK).unwrap();
+        let mut ends = vec![];
+        for id in ["a", "b", "c"] {
+            store.take_on(message(id, 100)).unwrap();
+            ends.push(store.length as usize);
+        }
+        let path = store.path.clone();
+        drop(store);
+        let whole = std::fs::read(&path).unwrap();
+        for cut in ends[1] + 1..whole.len() {
+            std::fs::write(&path, &whole[..cut]).unwrap();
+            let (mut store, damage) = Store::open(folder.path(), DISK).unwrap();
+            assert_eq!((ids(&store), damage.torn), (vec!["a", "b"], cut - ends[1]));
+            store.take_on(message("d", 1)).unwrap();
+            drop(store);
+            let (store, damage) = Store::open(folder.path(), DISK).unwrap();
+            assert_eq!((ids(&store), damage), (vec!["a", "b", "d"], Damage::default()));
+        }
+        for at in ends[0]..ends[1] {
+            let mut bytes = whole.clone();
+            bytes[at] ^= 0x55;
+            std::fs::write(&path, &bytes).unwrap();
+            let (store, damage) = Store::open(folder.path(), DISK).unwrap();
+            assert_eq!((ids(&store), damage.skipped), (vec!["a", "c"], ends[1] - ends[0]), "byte {at}");
+        }
+    }
+
+    /// Guards against a folder over its limit: the journal is written anew in time, and refuses before that
+    /// can no longer help.
+    #[test]
+    fn the_folder_stays_far_under_its_limit() {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut store, _) = Store::open(folder.path(), DISK).unwrap();
+        let size = || {
+            let files = std::fs::read_dir(folder.path()).unwrap();
+            files.map(|f| f.unwrap().metadata().unwrap().len()).sum::<u64>()
+        };
+        for n in 0..500 {
+            let number = store.take_on(message(&n.to_string(), 50_000)).unwrap();
+            store.over(number).unwrap();
+            assert!(size() < DISK / 2, "{}", size());
+        }
+        let mut taken = 0;
+        while store.take_on(message(&format!("m{taken}"), 50_000)).is_ok() {
+            taken += 1;
+            assert!(taken < 100);
+        }
+        assert!(taken > 5 && size() < DISK / 2, "{taken} taken, {} bytes", size());
+        drop(store);
+        let (store, _) = Store::open(folder.path(), DISK).unwrap();
+        assert_eq!(store.owed().count(), taken);
+    }
+}
--- /dev/null
+++ b/tests/sockets/calls.rs
@@ -0,0 +1,166 @@
+//! Calls to endpoints: what may have run, waits, batches, drains and the order of a key.
+use super::world::*;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// An address at which nothing listens.
+async fn nowhere() -> SocketAddr {
+    tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
+/// Guards against counting a refused connection as an attempt that may have run: even an unsafe message goes
+/// again, to the address that discovery tells meanwhile.
+#[tokio::test]
+async fn a_refused_connection_never_ran() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", nowhere().await, "single", "SERVING")]).await;
+    assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+    platform.tell(&[member("s-1", endpoint.address, "single", "SERVING")]);
+    let call = endpoint.call().await;
+    assert_eq!(call.id(), "m1");
+    call.ok();
+}
+
+/// Guards against a second effect: a call that broke after its last byte may have run. What is unsafe ends
+/// as failed; what is keyed goes again under its key.
+#[tokio::test]
+async fn a_reset_after_the_last_byte_may_have_run() {
+    let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    assert_eq!(node.hand_in("once", "unsafe", "").await.status(), 202);
+    endpoint.call().await.reply(Reply::Break);
+    assert_eq!(platform.notice().await, json!({"id": "once", "state": "failed"}));
+    assert_eq!(node.hand_in("again", "keyed", "").await.status(), 202);
+    endpoint.call().await.reply(Reply::Break);
+    let call = endpoint.call().await;
+    assert_eq!((call.id(), call.http.header("idempotency-key")), ("again", Some("idem-again")));
+    call.ok();
+    assert!(endpoint.quiet(Duration::from_millis(200)).await, "a message went out after its end");
+}
+
+/// Guards against resending on a stale connection: an endpoint that closed it between calls gets the next
+/// message once, on a new one, also where it must not be repeated.
+#[tokio::test]
+async fn a_connection_closed_between_calls_costs_no_attempt() {
+    let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+    // The answer asks to keep the connection; then it is dropped, as by an idle timer.
+    let first = endpoint.call().await;
+    first.reply(answer("200 OK", "Connection: close\r\n", ""));
+    assert_eq!(node.hand_in("m2", "unsafe", "").await.status(), 202);
+    let call = endpoint.call().await;
+    assert_eq!(call.id(), "m2");
+    call.reply(Reply::Break);
+    assert_eq!(platform.notice().await, json!({"id": "m2", "state": "failed"}));
+}
+
+/// Guards against sending anything at all to a destination that told a wait.
+#[tokio::test]
+async fn a_told_wait_holds_the_destination() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+    let call = endpoint.call().await;
+    let told = Instant::now();
+    call.reply(answer("429 Too Many Requests", "Retry-After: 0.75\r\n", ""));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(node.hand_in("m2", "keyed", "").await.status(), 202);
+    let mut ids = Vec::new();
+    for _ in 0..2 {
+        let call = endpoint.call().await;
+        assert!(told.elapsed() >= Duration::from_millis(750), "{:?}", told.elapsed());
+        ids.push(call.id().to_owned());
+        call.ok();
+    }
+    ids.sort();
+    assert_eq!(ids, ["m1", "m2"]);
+}
+
+/// Guards against giving one end to a whole batch, and against passing over a wait told in its answer.
+#[tokio::test]
+async fn each_message_of_a_batch_has_its_own_end() {
+    let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", endpoint.address, "batching", "SERVING")]).await;
+    // While the route waits, messages gather for one call.
+    assert_eq!(node.hand_in("first", "unsafe", "").await.status(), 202);
+    endpoint.call().await.reply(answer("410 Gone", "Retry-After: 1.0\r\n", ""));
+    for (id, class) in [("ok", "unsafe"), ("error", "unsafe"), ("later", "unsafe"), ("gone", "keyed")] {
+        assert_eq!(node.hand_in(id, class, "").await.status(), 202);
+    }
+    let call = endpoint.call().await;
+    assert_eq!(call.http.first, "POST /hook/batch HTTP/1.1");
+    let sent = call.http.json();
+    let items = sent.as_array().unwrap();
+    assert_eq!(items.len(), 4);
+    let ok = items.iter().find(|i| i["id"] == "ok").unwrap();
+    assert_eq!((&ok["key"], &ok["body"]), (&json!("idem-ok"), &json!("b2s=")));
+    let ends: Vec<_> = items.iter().map(|i| json!({"id": i["id"], "state": i["id"]})).collect();
+    let told = Instant::now();
+    call.reply(answer("200 OK", "Retry-After: 0.5\r\n", &json!(ends).to_string()));
+    assert_eq!(platform.notice().await, json!({"id": "error", "state": "failed"}));
+    let call = endpoint.call().await;
+    assert_eq!(call.id(), "later");
+    assert!(told.elapsed() >= Duration::from_millis(500), "{:?}", told.elapsed());
+    call.ok();
+    assert!(endpoint.quiet(Duration::from_millis(200)).await, "a message went out after its end");
+}
+
+/// Guards against new work for an endpoint that is known to drain.
+#[tokio::test]
+async fn a_draining_endpoint_gets_nothing_new() {
+    let (mut old, mut new, platform) = (Peer::start().await, Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", old.address, "single", "SERVING")]).await;
+    assert_eq!(node.hand_in("before", "unsafe", "").await.status(), 202);
+    let before = old.call().await;
+    platform.tell(&[
+        member("s-1", old.address, "single", "DRAINING"),
+        member("s-2", new.address, "single", "SERVING"),
+    ]);
+    // Both changes are one: once the new endpoint is called, the sender knows of the drain.
+    let mut known = false;
+    for n in 0..400 {
+        assert_eq!(node.hand_in(&format!("n{n}"), "unsafe", "").await.status(), 202);
+        tokio::select! {
+            call = old.call() => {
+                assert!(!known, "{} went to a draining endpoint", call.id());
+                call.ok();
+            }
+            call = new.call() => {
+                call.ok();
+                if std::mem::replace(&mut known, true) {
+                    break;
+                }
+            }
+        }
+    }
+    assert!(known);
+    before.ok();
+    assert!(old.quiet(Duration::from_millis(100)).await);
+}
+
+/// Guards against letting the next message of a key out before the platform knows that the one before is
+/// over: until then it counts as open.
+#[tokio::test]
+async fn a_key_waits_for_the_notice_of_the_one_before() {
+    let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    platform.deaf.store(true, Ordering::SeqCst);
+    assert_eq!(node.hand_in_for("m1", "ordered", "k", "0.5").await.status(), 202);
+    let first = endpoint.call().await;
+    assert_eq!(node.hand_in("m2", "ordered", "k").await.status(), 202);
+    // Another key of the same destination shows that the endpoint is not held.
+    assert_eq!(node.hand_in("other", "ordered", "l").await.status(), 202);
+    let other = endpoint.call().await;
+    assert_eq!(other.id(), "other");
+    other.ok();
+    assert!(endpoint.quiet(Duration::from_millis(900)).await, "the key was not kept");
+    platform.deaf.store(false, Ordering::SeqCst);
+    assert_eq!(platform.notice().await["id"], "m1");
+    let call = endpoint.call().await;
+    assert_eq!(call.id(), "m2");
+    call.ok();
+    drop(first);
+}
--- /dev/null
+++ b/tests/sockets/main.rs
@@ -0,0 +1,5 @@
+//! The sender as a process, with endpoints, platform and clients on loopback sockets.
+mod calls;
+mod clients;
+mod restarts;
+mod world;
--- /dev/null
+++ b/tests/sockets/restarts.rs
@@ -0,0 +1,104 @@
+//! Kills and planned restarts.
+use super::world::*;
+use serde_json::json;
+use std::io::Write;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Guards against losing what was taken on, and against repeating what may have run: after a kill each
+/// message goes on as its kind permits, in the order of its key, and notices that nobody acknowledged go out.
+#[tokio::test]
+async fn a_killed_sender_takes_up_what_it_owes() {
+    let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    platform.deaf.store(true, Ordering::SeqCst);
+    assert_eq!(node.hand_in("unheard", "unsafe", "").await.status(), 202);
+    endpoint.call().await.reply(answer("500 Internal Server Error", "", ""));
+    let mut out = Vec::new();
+    for (id, class) in [("once", "unsafe"), ("k1", "ordered")] {
+        assert_eq!(node.hand_in(id, class, "k").await.status(), 202);
+        out.push(endpoint.call().await);
+    }
+    for id in ["k2", "k3"] {
+        assert_eq!(node.hand_in(id, "ordered", "k").await.status(), 202);
+    }
+    node.kill();
+    drop(out);
+    // The end of the process broke off a record.
+    let mut journal = std::fs::OpenOptions::new().append(true).open(node.journal()).unwrap();
+    journal.write_all(&[40, 0, 0, 0, 1, 2, 3]).unwrap();
+    platform.deaf.store(false, Ordering::SeqCst);
+    node.begin().await;
+    for (id, key) in [("k1", "idem-k1"), ("k2", "idem-k2"), ("k3", "idem-k3")] {
+        let call = endpoint.call().await;
+        assert_eq!((call.id(), call.http.header("idempotency-key")), (id, Some(key)));
+        assert_eq!(call.http.body, id.as_bytes());
+        assert!(endpoint.quiet(Duration::from_millis(50)).await, "two messages of a key were out");
+        call.ok();
+    }
+    let mut failed = [platform.notice().await, platform.notice().await];
+    failed.sort_by_key(|n| n["id"].to_string());
+    assert_eq!(failed, ["once", "unheard"].map(|id| json!({"id": id, "state": "failed"})));
+    // With the next of the key out, all before it is over, also for the next process.
+    assert_eq!(node.hand_in("k4", "ordered", "k").await.status(), 202);
+    let out = endpoint.call().await;
+    assert_eq!(out.id(), "k4");
+    node.kill();
+    drop(out);
+    node.begin().await;
+    let call = endpoint.call().await;
+    assert_eq!(call.id(), "k4");
+    call.ok();
+    assert!(endpoint.quiet(Duration::from_millis(300)).await, "a message went out after its end");
+}
+
+/// Guards against an attempt too many: those before a restart count.
+#[tokio::test]
+async fn attempts_count_over_restarts() {
+    let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+    let two = |config: &mut serde_json::Value| config["settings"]["limits"]["max_attempts"] = json!(2);
+    let member = member("s-1", endpoint.address, "single", "SERVING");
+    let mut node = Node::start_with(&platform, &[member], two).await;
+    assert_eq!(node.hand_in("m1", "keyed", "").await.status(), 202);
+    let first = endpoint.call().await;
+    node.kill();
+    drop(first);
+    node.begin().await;
+    endpoint.call().await.reply(answer("500 Internal Server Error", "", ""));
+    let notice = platform.notice().await;
+    assert_eq!((&notice["id"], &notice["state"]), (&json!("m1"), &json!("returned")));
+    assert!(endpoint.quiet(Duration::from_millis(300)).await);
+}
+
+/// Guards against a planned restart that breaks off calls or answers: what is out comes to its end, clients
+/// are answered and sent elsewhere, the process ends by itself, and what is left goes on with the next one.
+#[tokio::test]
+async fn a_terminated_sender_winds_down() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    assert_eq!(node.hand_in("out", "unsafe", "").await.status(), 202);
+    let out = endpoint.call().await;
+    assert_eq!(node.hand_in("left", "unsafe", "").await.status(), 202);
+    endpoint.call().await.reply(answer("503 Service Unavailable", "Retry-After: 4.5\r\n", ""));
+    node.terminate();
+    let mut ready = 200;
+    while ready == 200 {
+        ready = node.request("GET /-/ready", "", b"").await.status();
+    }
+    assert_eq!(ready, 503);
+    let answer = node.hand_in("late", "unsafe", "").await;
+    assert!([202, 503].contains(&answer.status()), "{}", answer.first);
+    assert_eq!(answer.header("connection"), Some("close"));
+    out.ok();
+    assert!(node.ends_well().await);
+    node.begin().await;
+    let mut owed = vec!["left"];
+    owed.extend((answer.status() == 202).then_some("late"));
+    for _ in 0..owed.len() {
+        let call = endpoint.call().await;
+        let at = owed.iter().position(|id| *id == call.id());
+        owed.remove(at.unwrap_or_else(|| panic!("{} was over", call.id())));
+        call.ok();
+    }
+    assert!(endpoint.quiet(Duration::from_millis(300)).await, "a message went out after its end");
+}
--- /dev/null
+++ b/tests/sockets/world.rs
@@ -0,0 +1,328 @@
+//! What surrounds a sender in these tests: each peer hands its requests to the test, which answers them.
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+/// Far longer than anything here takes: only a failure waits for it.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A request or an answer: first line, header lines, body.
+#[derive(Debug)]
+pub struct Http {
+    pub first: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Http {
+    /// Reads one; none where the connection ends before its last byte.
+    pub async fn read(stream: &mut TcpStream) -> Option<Self> {
+        let mut bytes = Vec::new();
+        let head = loop {
+            if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+                break end;
+            }
+            stream.read_buf(&mut bytes).await.ok().filter(|read| *read > 0)?;
+        };
+        let text = String::from_utf8(bytes[..head].to_vec()).unwrap();
+        let mut lines = text.split("\r\n").map(str::to_owned);
+        let first = lines.next().unwrap();
+        let headers =
+            lines.map(|l| l.split_once(": ").map(|(n, v)| (n.to_lowercase(), v.to_owned())).unwrap());
+        let mut http = Http { first, headers: headers.collect(), body: bytes.split_off(head + 4) };
+        let length = http.header("content-length").map_or(0, |l| l.parse().unwrap());
+        while http.body.len() < length {
+            stream.read_buf(&mut http.body).await.ok().filter(|read| *read > 0)?;
+        }
+        Some(http)
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).unwrap().parse().unwrap()
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap()
+    }
+}
+
+/// What a peer does with a request.
+pub enum Reply {
+    Answer(String),
+    Break,
+}
+
+pub fn answer(status: &str, headers: &str, body: &str) -> Reply {
+    Reply::Answer(format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()))
+}
+
+/// A request that waits for the test's word; unanswered, it hangs until this is dropped.
+pub struct Call {
+    pub http: Http,
+    reply: oneshot::Sender<Reply>,
+}
+
+impl Call {
+    pub fn reply(self, reply: Reply) {
+        let _ = self.reply.send(reply);
+    }
+
+    pub fn ok(self) {
+        self.reply(answer("200 OK", "", ""));
+    }
+
+    pub fn id(&self) -> &str {
+        self.http.header("x-txn").unwrap()
+    }
+}
+
+/// A server on a port of its own.
+pub struct Peer {
+    pub address: SocketAddr,
+    calls: mpsc::UnboundedReceiver<Call>,
+}
+
+impl Peer {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (to_test, calls) = mpsc::unbounded_channel();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, to_test.clone()));
+            }
+        });
+        Self { address, calls }
+    }
+
+    pub async fn call(&mut self) -> Call {
+        timeout(PATIENCE, self.calls.recv()).await.expect("a call").unwrap()
+    }
+
+    /// Whether nothing comes for `span`.
+    pub async fn quiet(&mut self, span: Duration) -> bool {
+        timeout(span, self.calls.recv()).await.is_err()
+    }
+}
+
+async fn serve(mut stream: TcpStream, to_test: mpsc::UnboundedSender<Call>) {
+    while let Some(http) = Http::read(&mut stream).await {
+        let (reply, replied) = oneshot::channel();
+        if to_test.send(Call { http, reply }).is_err() {
+            return;
+        }
+        match replied.await {
+            Ok(Reply::Answer(text)) => {
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Reply::Break) | Err(_) => return,
+        }
+    }
+}
+
+/// Discovery's agent and the platform that takes notices.
+pub struct Platform {
+    pub address: SocketAddr,
+    notices: mpsc::UnboundedReceiver<Value>,
+    changes: mpsc::UnboundedSender<Value>,
+    /// While set, notices are read and not acknowledged.
+    pub deaf: Arc<AtomicBool>,
+}
+
+impl Platform {
+    pub async fn start() -> Self {
+        let mut peer = Peer::start().await;
+        let address = peer.address;
+        let (noticed, notices) = mpsc::unbounded_channel();
+        let (changes, mut to_tell) = mpsc::unbounded_channel::<Value>();
+        let deaf = Arc::new(AtomicBool::new(false));
+        let is_deaf = deaf.clone();
+        tokio::spawn(async move {
+            let mut watch: Option<Call> = None;
+            let mut untold: Option<Value> = None;
+            loop {
+                tokio::select! {
+                    change = to_tell.recv() => match change {
+                        Some(change) => untold = Some(change),
+                        None => return,
+                    },
+                    call = peer.calls.recv() => {
+                        let Some(call) = call else { return };
+                        if call.http.first.starts_with("GET /api/targets") {
+                            watch = Some(call);
+                        } else if is_deaf.load(Ordering::SeqCst) {
+                            call.reply(Reply::Break);
+                        } else {
+                            for line in call.http.body.split(|b| *b == b'\n').filter(|l| !l.is_empty()) {
+                                let _ = noticed.send(serde_json::from_slice(line).unwrap());
+                            }
+                            call.reply(answer("204 No Content", "", ""));
+                        }
+                    }
+                }
+                if watch.is_some()
+                    && let Some(change) = untold.take()
+                {
+                    watch.take().unwrap().reply(answer("200 OK", "", &change.to_string()));
+                }
+            }
+        });
+        Self { address, notices, changes, deaf }
+    }
+
+    pub async fn notice(&mut self) -> Value {
+        timeout(PATIENCE, self.notices.recv()).await.expect("a notice").unwrap()
+    }
+
+    /// Tells a change of the list.
+    pub fn tell(&self, members: &[Value]) {
+        let change = json!({"revision": 2, "complete": false, "members": members});
+        self.changes.send(change).unwrap();
+    }
+}
+
+/// An endpoint of destination 7: of the kind `single`, or `batching`, which takes five messages in a call.
+pub fn member(id: &str, address: SocketAddr, flavor: &str, phase: &str) -> Value {
+    json!({"id": id, "host_port": address.to_string(), "locality": "a", "flavor": flavor, "cell": 7,
+        "phase": phase, "size": 1.0, "up_since_ms": 0})
+}
+
+/// A sender's folder and what it is told; `process` is there while it runs.
+pub struct Node {
+    folder: TempDir,
+    config: Value,
+    process: Option<Child>,
+    pub address: SocketAddr,
+}
+
+impl Node {
+    pub async fn start(platform: &Platform, members: &[Value]) -> Self {
+        Self::start_with(platform, members, |_| {}).await
+    }
+
+    pub async fn start_with(platform: &Platform, members: &[Value], change: fn(&mut Value)) -> Self {
+        let lane = |name: &str, repeat: &str, fifo: bool| {
+            json!({"name": name, "aim": 1_000_000, "hard_limit": 30_000_000, "worth": 1.0, "late_value": 0.3,
+                "repeat": repeat, "group": "all", "key_ttl": 20_000_000, "fifo_by_key": fifo})
+        };
+        let mut config = json!({
+            "name": "n1", "listen": "127.0.0.1:0", "discovery": platform.address.to_string(), "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+            "known": {"revision": 1, "complete": true, "members": members},
+            "settings": {
+                "azs": ["a", "b"], "zone": "a", "discovery": "pushed", "fleet_size": 1,
+                "kinds": ["single", "batching"],
+                "lanes": [lane("unsafe", "fragile", false), lane("keyed", "dedup", false), lane("ordered", "dedup", true)],
+                "limits": {"cancel": true, "connect_timeout": 1_500_000, "conn_idle": 5_000_000, "max_attempts": 6,
+                    "most_held": 50, "probes": false},
+                "invariants": {"drain_grace": 1_000_000, "cold_share": 0.2, "ramp_time": 9_000_000,
+                    "overload_factor": 2.0, "fall": 1_500_000, "order_settle": 0, "must_ask_in": 10_000_000},
+                "specifics": {"bundle_max": [1, 5], "kind_apart": [false, true], "decay": "even", "max_calls": 8},
+                "tenants": [{"name": "acme", "allowance_per_s": 10.0}],
+                "period": 5000, "report": {"how": "answers", "names": ["x0", "x1"]}, "weights": "none"
+            }
+        });
+        change(&mut config);
+        let mut node = Self {
+            folder: tempfile::tempdir().unwrap(),
+            config,
+            process: None,
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        };
+        node.begin().await;
+        node
+    }
+
+    /// Starts the process on what its folder holds, and waits until it serves.
+    pub async fn begin(&mut self) {
+        let file = self.folder.path().join("config.json");
+        std::fs::write(&file, self.config.to_string()).unwrap();
+        let mut process = Command::new(env!("CARGO_BIN_EXE_micadrum"))
+            .env("PROXY_CONFIG", &file)
+            .env("PROXY_STATE", self.folder.path())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(process.stderr.take().unwrap()).lines().map_while(Result::ok);
+        self.process = Some(process);
+        let (told, address) = oneshot::channel();
+        std::thread::spawn(move || {
+            let listens = log.find_map(|line| line.strip_prefix("listening on ").map(str::to_owned));
+            let _ = told.send(listens);
+            // Read on, so that the process never waits for room in the pipe.
+            log.for_each(|line| println!("sender: {line}"));
+        });
+        let address = timeout(PATIENCE, address).await.expect("a start").unwrap();
+        self.address = address.expect("a listening sender").parse().unwrap();
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            process.kill().unwrap();
+            process.wait().unwrap();
+        }
+    }
+
+    /// Begins a planned restart: SIGTERM.
+    pub fn terminate(&self) {
+        let kill = format!("kill -TERM {}", self.process.as_ref().unwrap().id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    }
+
+    /// Waits for the process to end by itself; whether it did so in good order.
+    pub async fn ends_well(&mut self) -> bool {
+        let mut process = self.process.take().unwrap();
+        let wait = tokio::task::spawn_blocking(move || process.wait().unwrap().success());
+        timeout(PATIENCE, wait).await.expect("an end").unwrap()
+    }
+
+    pub fn journal(&self) -> std::path::PathBuf {
+        self.folder.path().join("messages.wal")
+    }
+
+    /// Hands in a message for destination 7.
+    pub async fn hand_in(&self, id: &str, class: &str, key: &str) -> Http {
+        self.hand_in_for(id, class, key, "30.0").await
+    }
+
+    pub async fn hand_in_for(&self, id: &str, class: &str, key: &str, remaining: &str) -> Http {
+        let head = format!(
+            "X-Txn: {id}\r\nX-Lane: {class}\r\nX-Org: acme\r\nX-Entity: {key}\r\nX-Remaining: {remaining}\r\n\
+             X-Envelope: dest=7\r\nIdempotency-Key: idem-{id}\r\n"
+        );
+        self.request("POST /api", &head, id.as_bytes()).await
+    }
+
+    pub async fn request(&self, what: &str, headers: &str, body: &[u8]) -> Http {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        let head = format!("{what} HTTP/1.1\r\nHost: a\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
+        stream.write_all(head.as_bytes()).await.unwrap();
+        // A sender may answer before it has read a body that it does not want.
+        let _ = stream.write_all(body).await;
+        timeout(PATIENCE, Http::read(&mut stream)).await.expect("an answer").expect("a whole answer")
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+}
