One end for a call, a last look before a call goes out, and when to come again

A batch's messages had expiries of their own and the network code chose among them; the module now lets the messages of a call expire together where only whole calls can be given up. A refusal tells when the destination may be called again (after_ms). Clients may end their sending with their request.

--- a/src/bin/micadrum-adapter/world.rs
+++ b/src/bin/micadrum-adapter/world.rs
@@ -147,7 +147,7 @@
                 Output::Forward { job: message.0, endpoint: name(endpoint), expire_at: expires.0 }
             }
             Action::Cancel { message, attempt } => Output::StopAttempt { job: message.0, attempt },
-            Action::Refuse(id) => Output::Busy { job: id.0 },
+            Action::Refuse { message, .. } => Output::Busy { job: message.0 },
             Action::Fail(id) => Output::Fail { job: id.0 },
             Action::WakeIn(span) => Output::WakeMe { after: span.0, mark: "wake" },
             Action::Subscribe => Output::Subscribe { on: true },
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -336,7 +336,7 @@
         match event {
             // A class that the settings do not name cannot be decided on: refused, nothing has run.
             Event::Message(message) if message.class.0 >= self.settings.classes.len() => {
-                actions.push(Action::Refuse(message.id));
+                actions.push(Action::Refuse { message: message.id, after: None });
             }
             Event::Message(message) => self.message(*message),
             Event::Resumed(resumed) => self.resumed(resumed),
@@ -524,6 +524,18 @@
                 .all(|line| self.rule_wait(line) && (joins || (self.rule_return(line) && self.paced(line))))
     }
 
+    /// Whether a call that connecting has held up may still go out: meanwhile a wait may have been told, the
+    /// endpoint may drain, or the window of a repeat may be over.
+    pub fn may_begin(&self, now: Time, id: MessageId, endpoint: EndpointId) -> bool {
+        let (Some(held), Some(at)) = (self.held.get(&id), self.endpoints.get(&endpoint)) else {
+            return false;
+        };
+        let shared = self.destinations.get(&at.destination).and_then(|d| d.shared);
+        self.rule_drain(at)
+            && self.repeatable(held, now)
+            && now >= self.lines[shared.unwrap_or(at.line)].told_until
+    }
+
     /// Rule 1: only a message that has not ended and has time left.
     fn rule_lost(&self, held: &Held) -> bool {
         matches!(held.stage, Stage::Waiting(_)) && self.now < self.last_moment(held)
@@ -605,10 +617,28 @@
             Repeat::Safe | Repeat::Keyed { group: Group::All, .. } => true,
             Repeat::Keyed { .. } | Repeat::Unsafe => held.ran.is_none(),
         };
-        actions.push(if harmless { Action::Refuse(id) } else { Action::Fail(id) });
+        let after = self.come_again(held);
+        actions.push(if harmless { Action::Refuse { message: id, after } } else { Action::Fail(id) });
         self.leave(id);
     }
 
+    /// When a refused message may come again: once something of its destination may be called, in its time.
+    fn come_again(&self, held: &Held) -> Option<Span> {
+        let opens = |line: &Line| {
+            let health = match line.health {
+                Health::Down(at) | Health::Returning(at) => at,
+                Health::Up => Time(0),
+            };
+            line.told_until.max(line.hold_until).max(health)
+        };
+        let destination = self.destinations.get(&held.message.destination)?;
+        let endpoints = destination.endpoints.iter().map(|e| &self.endpoints[e]);
+        let active = endpoints.filter(|at| at.listing == Listing::Active);
+        let own = active.map(|at| opens(&self.lines[at.line])).min()?;
+        let at = destination.shared.map_or(own, |line| own.max(opens(&self.lines[line])));
+        (self.now < at && at < held.deadline).then(|| Span(at.0 - self.now.0))
+    }
+
     /// A waiting message must be ended by then: the next heartbeat would come too late.
     fn last_moment(&self, held: &Held) -> Time {
         Time(held.deadline.0.saturating_sub(2 * HEARTBEAT * self.settings.period.0))
@@ -885,6 +915,7 @@
                 continue;
             };
             let (_, _, id) = queue.remove(place);
+            let first = actions.len();
             self.send(id, endpoint, None, actions);
             let call = self.next_call - 1;
             let mut room = self.batch(endpoint) - 1;
@@ -896,12 +927,34 @@
                 }
                 !joins
             });
+            if self.settings.calls_expire_whole {
+                self.expire_together(&mut actions[first..]);
+            }
             if queue.is_empty() {
                 waiting.remove(&destination);
             }
         }
     }
 
+    /// A call has one end: it is given up when the last of its messages would be, but none is kept past its
+    /// time.
+    fn expire_together(&self, call: &mut [Action]) {
+        let sends = call.iter().filter_map(|action| match action {
+            Action::Send { message, expires, .. } => Some((*expires, self.held[message].deadline)),
+            _ => None,
+        });
+        let (longest, first_deadline) = sends
+            .fold((Time(0), Time(u64::MAX)), |(end, due), (expires, deadline)| {
+                (end.max(expires), due.min(deadline))
+            });
+        let end = longest.min(Time(first_deadline.0.saturating_sub(self.settings.period.0)));
+        for action in call {
+            if let Action::Send { expires, .. } = action {
+                *expires = end;
+            }
+        }
+    }
+
     /// Messages that the next call to an endpoint may carry: one where health is in doubt.
     fn batch(&self, endpoint: EndpointId) -> usize {
         let at = &self.endpoints[&endpoint];
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -183,6 +183,8 @@
     pub cancel: bool,
     /// The end of a message that is not delivered is over only with [`Event::Noticed`], not at once.
     pub ends_noticed: bool,
+    /// The host can give up a call only with all of its messages, not one by one.
+    pub calls_expire_whole: bool,
     /// Figures of the rules.
     pub rules: Rules,
 }
@@ -360,7 +362,12 @@
         attempt: u32,
     },
     /// End a message undelivered; the client may safely come again.
-    Refuse(MessageId),
+    Refuse {
+        /// The message.
+        message: MessageId,
+        /// When coming again may help; none where nothing is known.
+        after: Option<Span>,
+    },
     /// End a message undelivered, with no promise about its effect.
     Fail(MessageId),
     /// Step again after this, even if nothing happens.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 //!     tenants: vec![], over_share_worth: 1.0, zone: ZoneId(0), senders: 1, slots: 4, most_held: 50,
 //!     max_attempts: 6, period: Span(5_000), connect_timeout: Span(second), decay: Decay::Even,
 //!     discovery: Discovery::Pushed, hints: Hints::None, probes: false, cancel: true,
-//!     ends_noticed: false,
+//!     ends_noticed: false, calls_expire_whole: false,
 //!     rules: Rules {
 //!         drain_grace: Span(second), cold_share: 0.2, ramp: Span(10 * second), overload_factor: 2.0,
 //!         fall: Span(second), order_settle: Span(0), must_ask_in: Span(10 * second),
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -9,7 +9,7 @@
 use micadrum::profile::{Names, Profile, look};
 use micadrum::{
     Action, ClassId, DestinationId, EndpointId, Entry, Event, Listing, Message, MessageId, OrderKey, Outcome,
-    Repeat, Resumed, Sender, Settings, Span, TenantId, Time, ZoneId,
+    Repeat, Report, Resumed, Sender, Settings, Span, TenantId, Time, ZoneId,
 };
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -48,6 +48,12 @@
 pub enum Input {
     HandIn(HandIn, oneshot::Sender<Answer>),
     Called(Called),
+    /// A call has a new connection, and asks whether its messages may still go out on it.
+    Connected {
+        endpoint: EndpointId,
+        messages: Vec<u32>,
+        may_begin: oneshot::Sender<bool>,
+    },
     /// A connection that can carry another call.
     Idle(EndpointId, Connection),
     Targets(Targets),
@@ -139,7 +145,7 @@
         links: Links,
     ) -> Result<Self, String> {
         let names = profile.names();
-        let settings = Settings { ends_noticed: true, ..profile.settings(&names)? };
+        let settings = Settings { ends_noticed: true, calls_expire_whole: true, ..profile.settings(&names)? };
         let idle = profile.connection_idle().unwrap_or(Span(5_000_000));
         let mut host = Self {
             sender: Sender::new(settings.clone(), seed).map_err(|e| e.to_string())?,
@@ -227,6 +233,11 @@
                 let _ = answer.send(self.hand_in(message));
             }
             Input::Called(called) => self.called(called),
+            Input::Connected { endpoint, messages, may_begin } => {
+                let now = self.now();
+                let ok = messages.iter().all(|n| self.sender.may_begin(now, MessageId(*n), endpoint));
+                let _ = may_begin.send(ok);
+            }
             Input::Idle(endpoint, connection) => self.pool.put(endpoint, connection),
             Input::Targets(targets) => self.targets(targets),
             Input::Noticed(numbers) => {
@@ -346,8 +357,16 @@
     fn called(&mut self, called: Called) {
         let at = self.clock.at(called.at);
         let sent = self.calls.remove(&called.number).unwrap_or(at);
-        let mut heeded = called.wait.is_none();
-        for (number, outcome, last) in called.ends {
+        let heeded = called.ends.iter().any(|(_, outcome, _)| matches!(outcome, Outcome::Full(Some(_))));
+        self.ended(sent, at, called.ends, called.report);
+        if let Some(wait) = called.wait.filter(|_| !heeded) {
+            self.pending.push((at, Event::Told { endpoint: called.endpoint, wait }));
+        }
+    }
+
+    /// Books how the attempts of a call ended.
+    fn ended(&mut self, sent: Time, at: Time, ends: Vec<(u32, Outcome, bool)>, report: Option<Report>) {
+        for (number, outcome, last) in ends {
             let attempts = self.store.get(number).map_or(1, |owed| owed.attempts);
             if last {
                 self.over(number);
@@ -355,20 +374,16 @@
                 let may_have_run = matches!(outcome, Outcome::Failure | Outcome::TimedOut | Outcome::Reset);
                 log_failure(self.store.outcome(number, may_have_run));
             }
-            heeded |= matches!(outcome, Outcome::Full(Some(_)));
             let event = Event::Ended {
                 message: MessageId(number),
                 attempt: attempts.saturating_sub(1),
                 outcome,
                 elapsed: Span(at.0.saturating_sub(sent.0)),
                 last,
-                report: called.report,
+                report,
             };
             self.pending.push((at, event));
         }
-        if let Some(wait) = called.wait.filter(|_| !heeded) {
-            self.pending.push((at, Event::Told { endpoint: called.endpoint, wait }));
-        }
     }
 
     fn targets(&mut self, targets: Targets) {
@@ -442,17 +457,23 @@
         }
         let mut actions = Vec::new();
         self.sender.step(now, &events, &mut actions);
-        let mut sends: Vec<(EndpointId, Vec<(MessageId, Time)>)> = Vec::new();
+        // Sends of one step to one endpoint share a call; the module lets the messages of a call expire together.
+        let mut sends: Vec<(EndpointId, Vec<MessageId>, Time)> = Vec::new();
         for action in actions {
             match action {
                 Action::Send { message, endpoint, expires } => {
                     let room = self.endpoints[endpoint.0 as usize].batch;
-                    match sends.iter_mut().find(|(to, with)| *to == endpoint && with.len() < room) {
-                        Some((_, with)) => with.push((message, expires)),
-                        None => sends.push((endpoint, vec![(message, expires)])),
+                    let open = sends
+                        .iter_mut()
+                        .find(|(to, with, until)| *to == endpoint && *until == expires && with.len() < room);
+                    match open {
+                        Some((_, with, _)) => with.push(message),
+                        None => sends.push((endpoint, vec![message], expires)),
                     }
                 }
-                Action::Refuse(id) => self.end(id.0, End::Returned(None)),
+                Action::Refuse { message, after } => {
+                    self.end(message.0, End::Returned(after.map(|span| span.0.div_ceil(1000))));
+                }
                 Action::Fail(id) => self.end(id.0, End::Failed),
                 Action::WakeIn(span) => {
                     let wake = at + Duration::from_micros(span.0);
@@ -464,39 +485,26 @@
                 Action::Subscribe | Action::FetchList | Action::Cancel { .. } | Action::Probe(_) => {}
             }
         }
-        for (endpoint, messages) in sends {
-            self.call(endpoint, messages);
+        for (endpoint, messages, expires) in sends {
+            self.call(endpoint, messages, expires);
         }
     }
 
-    fn call(&mut self, endpoint: EndpointId, messages: Vec<(MessageId, Time)>) {
+    fn call(&mut self, endpoint: EndpointId, messages: Vec<MessageId>, expires: Time) {
         let now = self.now();
         let at = &self.endpoints[endpoint.0 as usize];
         let (address, zone) = (at.address, at.zone.clone());
         let mut parcels = Vec::with_capacity(messages.len());
-        let mut expires = Time(0);
-        let mut latest = Time(u64::MAX);
-        for (MessageId(number), until) in messages {
+        let mut unsent = Vec::new();
+        for MessageId(number) in messages {
             let begun = self.store.begin(number, Attempt { at: now.0, zone: zone.clone() });
             let Some(owed) = self.store.get(number) else { continue };
             if let Err(e) = begun {
                 // An attempt that a restart would not know of must not go out.
                 eprintln!("not sent: {e}");
-                let attempt = owed.attempts;
-                let ended = Event::Ended {
-                    message: MessageId(number),
-                    attempt,
-                    outcome: Outcome::Void,
-                    elapsed: Span(0),
-                    last: false,
-                    report: None,
-                };
-                self.pending.push((now, ended));
+                unsent.push((number, Outcome::Void, false));
                 continue;
             }
-            // One call, one end: the message that waits longest decides, but none is kept past its time.
-            expires = expires.max(until);
-            latest = latest.min(Time(owed.deadline.saturating_sub(self.settings.period.0)));
             parcels.push(Parcel {
                 number,
                 id: owed.id.clone(),
@@ -504,6 +512,7 @@
                 body: owed.body.clone(),
             });
         }
+        self.ended(now, now, unsent, None);
         if parcels.is_empty() {
             return;
         }
@@ -515,13 +524,12 @@
             endpoint,
             address,
             parcels,
-            expires: self.clock.instant(expires.min(latest)),
+            expires: self.clock.instant(expires),
             connect_timeout: Duration::from_micros(self.settings.connect_timeout.0),
         };
         let (kept, fields, inputs) = (self.pool.take(endpoint), self.fields, self.inputs.clone());
         tokio::spawn(async move {
-            let done = |called| drop(inputs.send(Input::Called(called)));
-            if let Some(connection) = call.run(kept, fields, done).await {
+            if let Some(connection) = call.run(kept, fields, &inputs).await {
                 let _ = inputs.send(Input::Idle(endpoint, connection));
             }
         });
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -1,4 +1,5 @@
 //! Connections and calls: one call at a time on a connection, and what came back as an [`Outcome`].
+use super::host::Input;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use bytes::Bytes;
@@ -20,6 +21,8 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -273,16 +276,21 @@
 }
 
 impl Call {
-    /// Makes the call, on `kept` or a new connection. `done` hears how it ended as soon as that is known; the
+    /// Makes the call, on `kept` or a new connection. The host hears how it ended as soon as that is known; the
     /// connection comes back if it can carry another call.
     pub async fn run(
         self,
         kept: Option<Connection>,
         fields: ReportFields,
-        done: impl FnOnce(Called),
+        host: &UnboundedSender<Input>,
     ) -> Option<Connection> {
-        let mut connection = match self.connection(kept).await {
-            Ok(connection) => connection,
+        let done = |called| drop(host.send(Input::Called(called)));
+        let mut connection = match self.connection(kept, host).await {
+            Ok(Some(connection)) => connection,
+            Ok(None) => {
+                done(self.called(self.all(Outcome::Void), None, None));
+                return None;
+            }
             Err(e) => {
                 done(self.ended_by(&e));
                 return None;
@@ -327,14 +335,24 @@
         }
     }
 
-    async fn connection(&self, kept: Option<Connection>) -> Result<Connection, CallError> {
+    /// A connection for the call; none if its messages may not go out any more once there is one.
+    async fn connection(
+        &self,
+        kept: Option<Connection>,
+        host: &UnboundedSender<Input>,
+    ) -> Result<Option<Connection>, CallError> {
         if let Some(mut kept) = kept
             && kept.is_alive().await
         {
-            return Ok(kept);
+            return Ok(Some(kept));
         }
         let left = self.expires.saturating_duration_since(Instant::now());
-        Connection::open(self.address, left.min(self.connect_timeout)).await
+        let new = Connection::open(self.address, left.min(self.connect_timeout)).await?;
+        let (may_begin, allowed) = oneshot::channel();
+        let messages = self.parcels.iter().map(|p| p.number).collect();
+        let _ = host.send(Input::Connected { endpoint: self.endpoint, messages, may_begin });
+        // A host that has ended has no more calls to make.
+        Ok(allowed.await.unwrap_or(false).then_some(new))
     }
 
     fn request(&self) -> (Builder, Bytes) {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -83,6 +83,8 @@
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE)
+        // A client may end its sending with its request; it still waits for the answer.
+        .half_close(true)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     // A client that breaks its connection off hears nothing more: there is nobody to tell of the error.
@@ -118,6 +120,7 @@
 }
 
 async fn hand_in(request: Request<Incoming>, host: &UnboundedSender<Input>) -> Response<Full<Bytes>> {
+    let came = Instant::now();
     let (head, body) = request.into_parts();
     let body = match timeout(READ_PATIENCE, Limited::new(body, MOST_BODY).collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
@@ -127,7 +130,7 @@
         Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body cannot be read\n"),
         Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
     };
-    let message = match read(&head.headers, body) {
+    let message = match read(&head.headers, body, came) {
         Ok(message) => message,
         Err(what) => return plain(StatusCode::BAD_REQUEST, format!("{what}\n")),
     };
@@ -151,7 +154,7 @@
     response
 }
 
-fn read(headers: &HeaderMap, body: Bytes) -> Result<HandIn, String> {
+fn read(headers: &HeaderMap, body: Bytes, came: Instant) -> Result<HandIn, String> {
     let optional = |name: &str| -> Result<Option<String>, String> {
         let text = headers.get(name).map(|value| value.to_str().map(|text| text.trim().to_owned()));
         let text = text.transpose().map_err(|_| format!("{name} is not text"))?;
@@ -176,7 +179,7 @@
         idempotency_key: optional("Idempotency-Key")?,
         remaining: Duration::from_secs_f64(remaining.min(86_400.0)),
         destination: destination.ok_or("X-Envelope holds no dest")?,
-        came: Instant::now(),
+        came,
         body,
     })
 }
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -212,8 +212,8 @@
         self.append(Record::Over(number))
     }
 
-    /// Applies the record also where writing it fails: this process goes on by what it knows, and the next
-    /// compaction writes it down.
+    /// A record that cannot be written is applied all the same, but for a message that is to be taken on:
+    /// this process goes on by what it knows, and the next compaction writes it down.
     fn append(&mut self, record: Record) -> Result<(), StoreError> {
         let written = frame(&record).and_then(|frame| {
             let done = self.file.write_all(&frame);
@@ -224,7 +224,7 @@
             }
             done.map(|()| self.length += frame.len() as u64)
         });
-        let refused = written.is_err() && matches!(record, Record::Taken(..) | Record::Begun(..));
+        let refused = written.is_err() && matches!(record, Record::Taken(..));
         if !refused {
             self.apply(record);
         }
@@ -391,6 +391,22 @@
         }
     }
 
+    /// Guards against losing count of a message's attempts where the disk takes no more records.
+    #[test]
+    fn an_unwritten_attempt_is_an_error_and_counts() {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut store, _) = Store::open(folder.path(), DISK).unwrap();
+        let number = store.take_on(message("a", 10)).unwrap();
+        store.file = File::open(&store.path).unwrap();
+        folder.close().unwrap();
+        assert!(store.begin(number, attempt(5)).is_err());
+        assert!(store.outcome(number, false).is_err());
+        let owed = store.get(number).unwrap();
+        assert_eq!((owed.attempts, &owed.ran, &owed.out), (1, &None, &None));
+        assert!(store.take_on(message("b", 10)).is_err());
+        assert_eq!(ids(&store), ["a"]);
+    }
+
     /// Guards against a folder over its limit: the journal is written anew in time, and refuses before that
     /// can no longer help.
     #[test]
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -191,6 +191,7 @@
             probes: self.limits.probes,
             cancel: self.limits.cancel,
             ends_noticed: false,
+            calls_expire_whole: false,
             rules: Rules {
                 drain_grace: Span(r.drain_grace),
                 cold_share: r.cold_share,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -44,6 +44,7 @@
         probes: false,
         cancel: true,
         ends_noticed: false,
+        calls_expire_whole: false,
         rules: Rules {
             drain_grace: Span(SECOND),
             cold_share: 0.2,
@@ -145,7 +146,7 @@
 }
 
 pub fn refused(run: &[(u64, Action)], id: u32) -> bool {
-    run.iter().any(|(_, a)| *a == Action::Refuse(MessageId(id)))
+    run.iter().any(|(_, a)| matches!(a, Action::Refuse { message, .. } if message.0 == id))
 }
 
 pub fn failed(run: &[(u64, Action)], id: u32) -> bool {
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -145,7 +145,7 @@
                     m.out = Some((expires.0, endpoint.0));
                     m.attempts += 1;
                 }
-                Action::Refuse(id) | Action::Fail(id) => {
+                Action::Refuse { message: id, .. } | Action::Fail(id) => {
                     let m = seen.get_mut(&id.0).unwrap();
                     assert!(!m.ended && m.out.is_none(), "seed {seed}: {id:?} ended twice");
                     assert!(host.now <= m.taken + m.message.budget.0 + 20_000);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -67,7 +67,7 @@
                     last_sent = host.now;
                     pending = Some(ended(7, attempt, Outcome::Failure));
                 }
-                Action::Refuse(_) => over = true,
+                Action::Refuse { .. } => over = true,
                 other => panic!("{other:?}"),
             }
         }
@@ -84,7 +84,8 @@
         let taken = host.now;
         assert!(host.message(7, UNSAFE, 1).is_empty());
         let run = host.run(20 * SECOND);
-        let ends: Vec<_> = run.iter().filter(|(_, a)| *a == Action::Refuse(MessageId(7))).collect();
+        let ends: Vec<_> =
+            run.iter().filter(|(_, a)| matches!(a, Action::Refuse { message: MessageId(7), .. })).collect();
         assert_eq!(run.len(), ends.len());
         assert_eq!(ends.len(), 1);
         assert!(ends[0].0 < taken + 16 * SECOND && ends[0].0 > taken + 15 * SECOND);
@@ -315,7 +316,7 @@
 #[test]
 fn what_the_settings_do_not_name_is_no_panic() {
     let mut host = Host::new(settings(), vec![entry(1, 0, 9, 0)]);
-    assert_eq!(host.message(7, ClassId(99), 1), vec![Action::Refuse(MessageId(7))]);
+    assert_eq!(host.message(7, ClassId(99), 1), vec![Action::Refuse { message: MessageId(7), after: None }]);
     assert!(host.message(8, SAFE, 1).is_empty(), "an endpoint of an unknown kind is not used");
 }
 
@@ -326,3 +327,74 @@
     let mut host = Host::new(s, vec![entry(1, 0, 0, 0)]);
     assert!(sent(&host.message(7, SAFE, 1), 7).is_some());
 }
+
+/// Guards against a call that goes out too late: connecting can outlast what let the call through.
+#[test]
+fn a_held_up_call_begins_only_while_it_may() {
+    let list = vec![entry(1, 0, 0, 0), entry(1, 1, 0, 0)];
+    let mut host = Host::new(settings(), list);
+    let first = sent(&host.message(1, KEYED_ALL, 1), 1).unwrap();
+    let (id, to) = (MessageId(1), EndpointId(first));
+    assert!(host.sender.may_begin(Time(host.now), id, to));
+    host.step(&[Event::Told { endpoint: to, wait: Span(SECOND) }]);
+    assert!(!host.sender.may_begin(Time(host.now + SECOND - 1), id, to));
+    assert!(host.sender.may_begin(Time(host.now + SECOND), id, to));
+    let drains = Entry { listing: Listing::Draining, ..entry(1, first, 0, 0) };
+    host.step(&[Event::ListChanges(vec![drains])]);
+    assert!(!host.sender.may_begin(Time(host.now + SECOND), id, to));
+    // After an attempt that may have run, only inside the window from its sending.
+    let mut host = Host::new(settings(), vec![entry(1, 0, 0, 0)]);
+    let start = host.now;
+    host.message(1, KEYED_ALL, 1);
+    host.ended(1, 0, Outcome::Reset);
+    let (at, to) = sent_at(&host.run(4 * SECOND), 1).unwrap();
+    assert!(host.sender.may_begin(Time(at), id, EndpointId(to)));
+    assert!(!host.sender.may_begin(Time(start + 5 * SECOND), id, EndpointId(to)));
+}
+
+/// Guards against taking a restart for a new beginning: attempts, effects and keys of the process before.
+#[test]
+fn a_resumed_message_goes_on_where_it_was() {
+    let mut host = Host::new(Settings { ends_noticed: true, ..settings() }, vec![entry(1, 0, 0, 0)]);
+    let now = host.now;
+    let resumed = |id, class, key, attempts, ran: Option<u64>, ended| {
+        let Event::Message(message) = message(id, class, 1, key) else { unreachable!() };
+        let ran = ran.map(|ago| (Time(now - ago), ZoneId(0)));
+        Event::Resumed(Resumed { message, attempts, ran, ended })
+    };
+    let actions = host.step(&[
+        resumed(1, UNSAFE, None, 1, Some(SECOND), false),
+        resumed(2, KEYED_ALL, None, 1, Some(6 * SECOND), false),
+        resumed(3, ORDERED, Some(9), 2, None, true),
+        resumed(4, ORDERED, Some(9), 0, None, false),
+        resumed(5, UNSAFE, None, 6, None, false),
+        resumed(6, KEYED_ALL, None, 5, Some(SECOND), false),
+    ]);
+    let mut run = vec![];
+    run.extend(actions.into_iter().map(|a| (now, a)));
+    run.extend(host.run(3 * SECOND));
+    assert!(failed(&run, 1) && sent_at(&run, 1).is_none(), "it may have run");
+    assert!(refused(&run, 2) && sent_at(&run, 2).is_none(), "its window is over");
+    assert!(sent_at(&run, 4).is_none(), "the end before it on its key is not noticed yet");
+    assert!(sent_at(&run, 5).is_none(), "it has had all its attempts");
+    assert!(sent_at(&run, 6).is_some());
+    let mut run = host.step(&[Event::Noticed(MessageId(3))]);
+    run.extend(host.run(SECOND).into_iter().map(|(_, a)| a));
+    assert!(sent(&run, 4).is_some());
+}
+
+/// Guards against calls that the end of the process would break off.
+#[test]
+fn winding_down_begins_no_call_that_cannot_end() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 0, 0)]);
+    host.message(1, SAFE, 1);
+    host.now += SECOND;
+    host.ended(1, 0, Outcome::Success);
+    let end = Time(host.now + 4 * SECOND);
+    host.step(&[Event::WindDown(end)]);
+    assert!(sent(&host.message(2, SAFE, 1), 2).is_some());
+    assert!(host.sender.admits(Time(host.now), 0) && !host.sender.admits(Time(host.now), 100));
+    host.now = end.0 - SECOND / 2;
+    assert_eq!(host.message(3, SAFE, 1), vec![]);
+    assert!(!host.sender.admits(Time(host.now), 0));
+}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -156,7 +156,7 @@
         let mut host = Host::new(s, vec![]);
         host.message(1, UNSAFE, 77);
         let run = host.run(20 * SECOND);
-        let ends = run.iter().filter(|(_, a)| matches!(a, Action::Refuse(_) | Action::Fail(_))).count();
+        let ends = run.iter().filter(|(_, a)| matches!(a, Action::Refuse { .. } | Action::Fail(_))).count();
         assert_eq!(ends, 1);
     }
 }
--- a/tests/sockets/calls.rs
+++ b/tests/sockets/calls.rs
@@ -79,6 +79,21 @@
     assert_eq!(ids, ["m1", "m2"]);
 }
 
+/// Guards against a refusal that leaves the client guessing: it hears when the destination's wait ends.
+#[tokio::test]
+async fn a_refusal_tells_when_to_come_again() {
+    let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+    let once = |config: &mut serde_json::Value| config["settings"]["limits"]["max_attempts"] = json!(1);
+    let member = member("s-1", endpoint.address, "single", "SERVING");
+    let node = Node::start_with(&platform, &[member], once).await;
+    assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+    endpoint.call().await.reply(answer("429 Too Many Requests", "Retry-After: 10\r\n", ""));
+    let notice = platform.notice().await;
+    assert_eq!((&notice["id"], &notice["state"]), (&json!("m1"), &json!("returned")));
+    let after = notice["after_ms"].as_u64().unwrap();
+    assert!((1..=10_000).contains(&after), "{after}");
+}
+
 /// Guards against giving one end to a whole batch, and against passing over a wait told in its answer.
 #[tokio::test]
 async fn each_message_of_a_batch_has_its_own_end() {
