Keep idle connections by address, and say what remains

A connection kept for an endpoint outlived a change of its address only by a check in the list's handling; kept by address it cannot be used for another. The door's refusal held a time that nothing set: removed.

--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -41,7 +41,7 @@
 pub enum Answer {
     TakenOn,
     Malformed(String),
-    Refused(Option<Duration>),
+    Refused,
 }
 
 /// What reaches the loop.
@@ -55,7 +55,7 @@
         may_begin: oneshot::Sender<bool>,
     },
     /// A connection that can carry another call.
-    Idle(EndpointId, Connection),
+    Idle(SocketAddr, Connection),
     Targets(Targets),
     /// Notices that the platform has acknowledged.
     Noticed(Vec<u32>),
@@ -238,7 +238,7 @@
                 let ok = messages.iter().all(|n| self.sender.may_begin(now, MessageId(*n), endpoint));
                 let _ = may_begin.send(ok);
             }
-            Input::Idle(endpoint, connection) => self.pool.put(endpoint, connection),
+            Input::Idle(address, connection) => self.pool.put(address, connection),
             Input::Targets(targets) => self.targets(targets),
             Input::Noticed(numbers) => {
                 for number in numbers {
@@ -285,7 +285,7 @@
         };
         let now = self.now();
         if !self.sender.admits(now, self.numbers.len()) {
-            return Answer::Refused(None);
+            return Answer::Refused;
         }
         let id = owed.id.clone();
         match self.store.take_on(owed) {
@@ -297,7 +297,7 @@
             }
             Err(e) => {
                 eprintln!("refused: {e}");
-                Answer::Refused(None)
+                Answer::Refused
             }
         }
     }
@@ -399,11 +399,7 @@
             let new = Endpoint { address: member.host_port, zone: member.locality, batch };
             let endpoint = match self.endpoint_ids.get(&member.id) {
                 Some(known) => {
-                    let at = &mut self.endpoints[known.0 as usize];
-                    if at.address != new.address {
-                        self.pool.close(*known);
-                    }
-                    *at = new;
+                    self.endpoints[known.0 as usize] = new;
                     *known
                 }
                 None => {
@@ -479,7 +475,7 @@
                     let wake = at + Duration::from_micros(span.0);
                     self.wake_at = Some(self.wake_at.map_or(wake, |set| set.min(wake)));
                 }
-                Action::CloseIdle(endpoint) => self.pool.close(endpoint),
+                Action::CloseIdle(endpoint) => self.pool.close(self.endpoints[endpoint.0 as usize].address),
                 Action::Log(line) => eprintln!("{line}"),
                 // The watch is always on; the module neither calls off nor probes.
                 Action::Subscribe | Action::FetchList | Action::Cancel { .. } | Action::Probe(_) => {}
@@ -527,10 +523,10 @@
             expires: self.clock.instant(expires),
             connect_timeout: Duration::from_micros(self.settings.connect_timeout.0),
         };
-        let (kept, fields, inputs) = (self.pool.take(endpoint), self.fields, self.inputs.clone());
+        let (kept, fields, inputs) = (self.pool.take(address), self.fields, self.inputs.clone());
         tokio::spawn(async move {
             if let Some(connection) = call.run(kept, fields, &inputs).await {
-                let _ = inputs.send(Input::Idle(endpoint, connection));
+                let _ = inputs.send(Input::Idle(address, connection));
             }
         });
     }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -209,9 +209,9 @@
     pub limit: bool,
 }
 
-/// Idle connections by endpoint, the last used one first out.
+/// Idle connections by address, the last used one first out: an endpoint that moves leaves its old ones behind.
 pub struct Pool {
-    idle: HashMap<EndpointId, Vec<(Connection, Instant)>>,
+    idle: HashMap<SocketAddr, Vec<(Connection, Instant)>>,
     keep: Duration,
 }
 
@@ -221,28 +221,28 @@
         Self { idle: HashMap::new(), keep: idle_time * 4 / 5 }
     }
 
-    /// All idle connections to the endpoint that are young enough, the youngest last.
-    pub fn take(&mut self, endpoint: EndpointId) -> Option<Connection> {
+    /// The youngest idle connection to the address, if any is young enough.
+    pub fn take(&mut self, address: SocketAddr) -> Option<Connection> {
         self.prune();
-        let idle = self.idle.get_mut(&endpoint)?;
+        let idle = self.idle.get_mut(&address)?;
         idle.pop().map(|(connection, _)| connection)
     }
 
     /// Keeps a connection for the next call.
-    pub fn put(&mut self, endpoint: EndpointId, connection: Connection) {
+    pub fn put(&mut self, address: SocketAddr, connection: Connection) {
         self.prune();
         if self.idle.values().map(Vec::len).sum::<usize>() < MOST_IDLE {
-            self.idle.entry(endpoint).or_default().push((connection, Instant::now()));
+            self.idle.entry(address).or_default().push((connection, Instant::now()));
         }
     }
 
-    /// Closes what is idle to an endpoint.
-    pub fn close(&mut self, endpoint: EndpointId) {
-        self.idle.remove(&endpoint);
+    /// Closes what is idle to an address.
+    pub fn close(&mut self, address: SocketAddr) {
+        self.idle.remove(&address);
     }
 
     /// Closes connections that have been idle for too long.
-    pub fn prune(&mut self) {
+    fn prune(&mut self) {
         let keep = self.keep;
         self.idle.retain(|_, idle| {
             idle.retain(|(connection, since)| since.elapsed() < keep && !connection.requests.is_closed());
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -139,21 +139,11 @@
     match answered.await {
         Ok(Answer::TakenOn) => plain(StatusCode::ACCEPTED, ""),
         Ok(Answer::Malformed(what)) => plain(StatusCode::BAD_REQUEST, format!("{what}\n")),
-        Ok(Answer::Refused(after)) => refused(after),
-        // The host has ended: it took nothing on.
-        Err(_) => refused(None),
+        // A host that has ended took nothing on.
+        Ok(Answer::Refused) | Err(_) => plain(StatusCode::SERVICE_UNAVAILABLE, "not taken on\n"),
     }
 }
 
-fn refused(after: Option<Duration>) -> Response<Full<Bytes>> {
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "not taken on\n");
-    let seconds = after.and_then(|after| HeaderValue::try_from(format!("{:.3}", after.as_secs_f64())).ok());
-    if let Some(seconds) = seconds {
-        response.headers_mut().insert(RETRY_AFTER, seconds);
-    }
-    response
-}
-
 fn read(headers: &HeaderMap, body: Bytes, came: Instant) -> Result<HandIn, String> {
     let optional = |name: &str| -> Result<Option<String>, String> {
         let text = headers.get(name).map(|value| value.to_str().map(|text| text.trim().to_owned()));
--- a/tests/sockets/calls.rs
+++ b/tests/sockets/calls.rs
@@ -17,7 +17,9 @@
     let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
     let node = Node::start(&platform, &[member("s-1", nowhere().await, "single", "SERVING")]).await;
     assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
-    platform.tell(&[member("s-1", endpoint.address, "single", "SERVING")]);
+    // A line of a kind that nobody knows is passed over, and the next one counts.
+    let unknown = member("s-0", endpoint.address, "new-kind", "SERVING");
+    platform.tell(&[unknown, member("s-1", endpoint.address, "single", "SERVING")]);
     let call = endpoint.call().await;
     assert_eq!(call.id(), "m1");
     call.ok();
