--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -4,8 +4,7 @@
 use super::notices::Notice;
 use super::pool::{Call, Called, Connection, Parcel, Pool, ReportFields};
 use super::server::Doors;
-use super::store::{Attempt, End, Owed, Store, StoreError};
-use bytes::Bytes;
+use super::store::{Attempt, End, Handed, Owed, Store, StoreError};
 use micadrum::profile::{Names, Profile, look};
 use micadrum::{
     Action, ClassId, DestinationId, EndpointId, Entry, Event, Listing, Message, MessageId, OrderKey, Outcome,
@@ -24,19 +23,6 @@
 /// From SIGTERM on, clients still come for 0.4 s.
 const STILL_COMING: Duration = Duration::from_millis(600);
 
-/// A message as a client handed it in.
-pub struct HandIn {
-    pub id: String,
-    pub class: String,
-    pub tenant: Option<String>,
-    pub key: Option<String>,
-    pub idempotency_key: Option<String>,
-    pub destination: u64,
-    pub remaining: Duration,
-    pub came: Instant,
-    pub body: Bytes,
-}
-
 /// What the client is told.
 pub enum Answer {
     TakenOn,
@@ -46,7 +32,12 @@
 
 /// What reaches the loop.
 pub enum Input {
-    HandIn(HandIn, oneshot::Sender<Answer>),
+    HandIn {
+        message: Handed,
+        /// By when it may still be delivered.
+        deadline: Instant,
+        answer: oneshot::Sender<Answer>,
+    },
     Called(Called),
     /// A call has a new connection, and asks whether its messages may still go out on it.
     Connected {
@@ -228,9 +219,9 @@
 
     fn take_in(&mut self, input: Input) {
         match input {
-            Input::HandIn(message, answer) => {
+            Input::HandIn { message, deadline, answer } => {
                 // A client that has gone comes again under a new id; this one is owed all the same.
-                let _ = answer.send(self.hand_in(message));
+                let _ = answer.send(self.hand_in(message, deadline));
             }
             Input::Called(called) => self.called(called),
             Input::Connected { endpoint, messages, may_begin } => {
@@ -260,25 +251,11 @@
         }
     }
 
-    fn hand_in(&mut self, message: HandIn) -> Answer {
+    fn hand_in(&mut self, message: Handed, deadline: Instant) -> Answer {
         if self.numbers.contains_key(&message.id) {
             return Answer::TakenOn;
         }
-        let deadline = self.clock.at(message.came + message.remaining);
-        let owed = Owed {
-            id: message.id,
-            class: message.class,
-            tenant: message.tenant,
-            key: message.key,
-            idempotency_key: message.idempotency_key,
-            destination: message.destination,
-            deadline: deadline.0,
-            body: message.body,
-            attempts: 0,
-            ran: None,
-            out: None,
-            end: None,
-        };
+        let owed = Owed::new(message, self.clock.at(deadline).0);
         let mut known = match self.message(0, &owed) {
             Ok(known) => known,
             Err(what) => return Answer::Malformed(what),
@@ -287,7 +264,7 @@
         if !self.sender.admits(now, self.numbers.len()) {
             return Answer::Refused;
         }
-        let id = owed.id.clone();
+        let id = owed.message.id.clone();
         match self.store.take_on(owed) {
             Ok(number) => {
                 known.id = MessageId(number);
@@ -304,23 +281,23 @@
 
     /// A message in the module's terms; the error says what cannot be understood.
     fn message(&self, number: u32, owed: &Owed) -> Result<Message, String> {
-        let class: ClassId = look(&self.names.classes, &owed.class, "class")?;
+        let class: ClassId = look(&self.names.classes, &owed.message.class, "class")?;
         let of_class = &self.settings.classes[class.0];
-        if matches!(of_class.repeat, Repeat::Keyed { .. }) && owed.idempotency_key.is_none() {
-            return Err(format!("class {:?} needs an idempotency key", owed.class));
+        if matches!(of_class.repeat, Repeat::Keyed { .. }) && owed.message.idempotency_key.is_none() {
+            return Err(format!("class {:?} needs an idempotency key", owed.message.class));
         }
-        let tenant: Option<TenantId> = match &owed.tenant {
+        let tenant: Option<TenantId> = match &owed.message.tenant {
             Some(name) if !self.names.tenants.is_empty() => Some(look(&self.names.tenants, name, "tenant")?),
             _ => None,
         };
         // Two keys of one hash would wait for each other: harmless.
-        let key = owed.key.as_ref().filter(|_| of_class.ordered).map(|key| {
+        let key = owed.message.key.as_ref().filter(|_| of_class.ordered).map(|key| {
             let mut hasher = DefaultHasher::new();
             key.hash(&mut hasher);
             OrderKey(hasher.finish())
         });
         let budget = Span(owed.deadline.saturating_sub(self.now().0));
-        let destination = DestinationId(owed.destination);
+        let destination = DestinationId(owed.message.destination);
         Ok(Message { id: MessageId(number), class, tenant, key, destination, budget })
     }
 
@@ -328,11 +305,11 @@
     fn resume(&mut self) {
         let owed: Vec<(u32, Owed)> = self.store.owed().map(|(number, owed)| (number, owed.clone())).collect();
         for (number, owed) in owed {
-            self.numbers.insert(owed.id.clone(), number);
+            self.numbers.insert(owed.message.id.clone(), number);
             let message = match self.message(number, &owed) {
                 Ok(message) => message,
                 Err(what) => {
-                    eprintln!("resuming {}: {what}", owed.id);
+                    eprintln!("resuming {}: {what}", owed.message.id);
                     self.end(number, owed.end.unwrap_or(End::Failed));
                     continue;
                 }
@@ -349,7 +326,7 @@
             let resumed = Resumed { message, attempts: owed.attempts, ran, ended };
             self.pending.push((self.now(), Event::Resumed(resumed)));
             if let Some(end) = owed.end {
-                let _ = self.notices.send(Notice { number, id: owed.id, end });
+                let _ = self.notices.send(Notice { number, id: owed.message.id, end });
             }
         }
     }
@@ -503,9 +480,9 @@
             }
             parcels.push(Parcel {
                 number,
-                id: owed.id.clone(),
-                idempotency_key: owed.idempotency_key.clone(),
-                body: owed.body.clone(),
+                id: owed.message.id.clone(),
+                idempotency_key: owed.message.idempotency_key.clone(),
+                body: owed.message.body.clone(),
             });
         }
         self.ended(now, now, unsent, None);
@@ -533,7 +510,7 @@
 
     fn end(&mut self, number: u32, end: End) {
         let Some(owed) = self.store.get(number) else { return };
-        let id = owed.id.clone();
+        let id = owed.message.id.clone();
         log_failure(self.store.end(number, end));
         let _ = self.notices.send(Notice { number, id, end });
     }
@@ -541,7 +518,7 @@
     /// Nothing more is owed.
     fn over(&mut self, number: u32) {
         let Some(owed) = self.store.get(number) else { return };
-        self.numbers.remove(&owed.id);
+        self.numbers.remove(&owed.message.id);
         log_failure(self.store.over(number));
     }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,5 +1,6 @@
 //! The side that clients see: messages are handed in, and answered once the journal holds them.
-use super::host::{Answer, HandIn, Input};
+use super::host::{Answer, Input};
+use super::store::Handed;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -16,6 +17,8 @@
 use tokio::time::{Instant, sleep, timeout};
 
 const MOST_BODY: usize = 64 * 1024;
+/// Seconds that no deadline is further away; what clients say beyond it is cut.
+const MOST_REMAINING: f64 = 86_400.0;
 /// Longest header field that is kept with a message.
 const MOST_FIELD: usize = 1024;
 /// Client connections at once; with calls and idle connections well under the descriptors.
@@ -130,12 +133,12 @@
         Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body cannot be read\n"),
         Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
     };
-    let message = match read(&head.headers, body, came) {
-        Ok(message) => message,
+    let (message, remaining) = match read(&head.headers, body) {
+        Ok(read) => read,
         Err(what) => return plain(StatusCode::BAD_REQUEST, format!("{what}\n")),
     };
     let (answer, answered) = oneshot::channel();
-    let _ = host.send(Input::HandIn(message, answer));
+    let _ = host.send(Input::HandIn { message, deadline: came + remaining, answer });
     match answered.await {
         Ok(Answer::TakenOn) => plain(StatusCode::ACCEPTED, ""),
         Ok(Answer::Malformed(what)) => plain(StatusCode::BAD_REQUEST, format!("{what}\n")),
@@ -144,7 +147,8 @@
     }
 }
 
-fn read(headers: &HeaderMap, body: Bytes, came: Instant) -> Result<HandIn, String> {
+/// A message and how long it may still be delivered.
+fn read(headers: &HeaderMap, body: Bytes) -> Result<(Handed, Duration), String> {
     let optional = |name: &str| -> Result<Option<String>, String> {
         let text = headers.get(name).map(|value| value.to_str().map(|text| text.trim().to_owned()));
         let text = text.transpose().map_err(|_| format!("{name} is not text"))?;
@@ -161,15 +165,14 @@
     let envelope = needed("X-Envelope")?;
     let destination = envelope.split([',', ';', ' ']).find_map(|field| field.trim().strip_prefix("dest="));
     let destination = destination.and_then(|number| number.parse().ok());
-    Ok(HandIn {
+    let message = Handed {
         id: needed("X-Txn")?,
         class: needed("X-Lane")?,
         tenant: optional("X-Org")?,
         key: optional("X-Entity")?,
         idempotency_key: optional("Idempotency-Key")?,
-        remaining: Duration::from_secs_f64(remaining.min(86_400.0)),
         destination: destination.ok_or("X-Envelope holds no dest")?,
-        came,
         body,
-    })
+    };
+    Ok((message, Duration::from_secs_f64(remaining.min(MOST_REMAINING))))
 }
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -35,18 +35,24 @@
     pub zone: String,
 }
 
-/// A message that this sender owes its end, or the notice of it.
+/// A message as a client handed it in.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Owed {
+pub struct Handed {
     pub id: String,
     pub class: String,
     pub tenant: Option<String>,
     pub key: Option<String>,
     pub idempotency_key: Option<String>,
     pub destination: u64,
+    pub body: Bytes,
+}
+
+/// A message that this sender owes its end, or the notice of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owed {
+    pub message: Handed,
     /// Wall clock, microseconds: it binds across processes.
     pub deadline: u64,
-    pub body: Bytes,
     pub attempts: u32,
     /// The first attempt that may have run.
     pub ran: Option<Attempt>,
@@ -57,8 +63,13 @@
 }
 
 impl Owed {
+    /// A message that nobody has tried to deliver yet.
+    pub fn new(message: Handed, deadline: u64) -> Self {
+        Self { message, deadline, attempts: 0, ran: None, out: None, end: None }
+    }
+
     fn size(&self) -> u64 {
-        self.body.len() as u64 + OVERHEAD
+        self.message.body.len() as u64 + OVERHEAD
     }
 }
 
@@ -260,7 +271,7 @@
             Record::Ended(number, end) => {
                 if let Some(owed) = self.owed.get_mut(&number) {
                     owed.end = Some(end);
-                    self.owed_bytes -= std::mem::take(&mut owed.body).len() as u64;
+                    self.owed_bytes -= std::mem::take(&mut owed.message.body).len() as u64;
                 }
             }
             Record::Over(number) => {
@@ -315,20 +326,16 @@
     const DISK: u64 = 3_000_000;
 
     fn message(id: &str, body: usize) -> Owed {
-        Owed {
+        let message = Handed {
             id: id.to_owned(),
             class: "charge".to_owned(),
             tenant: None,
             key: None,
             idempotency_key: None,
             destination: 7,
-            deadline: 1,
             body: vec![b'x'; body].into(),
-            attempts: 0,
-            ran: None,
-            out: None,
-            end: None,
-        }
+        };
+        Owed::new(message, 1)
     }
 
     fn attempt(at: u64) -> Attempt {
@@ -336,7 +343,7 @@
     }
 
     fn ids(store: &Store) -> Vec<&str> {
-        store.owed().map(|(_, owed)| owed.id.as_str()).collect()
+        store.owed().map(|(_, owed)| owed.message.id.as_str()).collect()
     }
 
     /// Guards against forgetting, over a restart, which attempt may have run first.
