Deal out the machine's limits, let go of clients that do not go on, and move with a new configuration

Ruled out: memory (7 of 32 MB), discovery (no line of it in the log).

- net/budget.rs: sockets, memory and disk from the configuration, dealt out in one place.
- A full house asks the connection longest at rest to leave.
Head patience 2.1 s, body patience 0.5 s (clients wait 400 ms for their answer); bodies count against a part of the memory, and are copied out of read buffers.
- A Transfer-Encoding is turned down: hyper takes a Content-Length beside it out of the head (role.rs).
- Closing reads on for up to 1 s, so that a client still sending hears its 413.
- SIGHUP reads the file again and moves watch and notices; every agent is asked for the whole list first.

--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 mod net;
 
 use micadrum::profile::Profile;
+use net::budget::{Budget, Limits};
 use net::discovery::{self, Targets};
 use net::host::{Host, Input, Links};
 use net::notices;
@@ -29,11 +30,6 @@
     settings: Profile,
 }
 
-#[derive(Deserialize)]
-struct Limits {
-    disk_mb: f64,
-}
-
 #[derive(Debug, thiserror::Error)]
 enum StartError {
     #[error("${0} is not set")]
@@ -67,37 +63,56 @@
     serde_json::from_slice(&text).map_err(|source| StartError::NotConfig { path, source })
 }
 
+/// Takes over what may change while the sender runs: where discovery and the platform are reached.
+fn reload(platform: &watch::Sender<SocketAddr>) {
+    match config() {
+        Ok(config) => {
+            let moved = platform
+                .send_if_modified(|address| std::mem::replace(address, config.discovery) != config.discovery);
+            eprintln!("reloaded: discovery at {}{}", config.discovery, if moved { "" } else { " as before" });
+        }
+        // A file that cannot be used must not stop a sender at work.
+        Err(e) => eprintln!("reload: {e}; all stays as it was"),
+    }
+}
+
 async fn run() -> Result<(), StartError> {
+    // First of all, as without a handler a signal ends the process.
+    let mut reloads = signal(SignalKind::hangup())?;
+    let (mut terminated, mut interrupted) =
+        (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let config = config()?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed))?;
-    let (store, damage) = Store::open(&variable("PROXY_STATE")?, (config.limits.disk_mb * 1e6) as u64)?;
+    let budget = Budget::new(&config.limits, config.settings.most_calls());
+    let (store, damage) = Store::open(&variable("PROXY_STATE")?, budget.disk)?;
     if damage != net::store::Damage::default() {
         eprintln!("journal: {} bytes cut off at the end, {} passed over", damage.torn, damage.skipped);
     }
     let (inputs, from_all) = mpsc::unbounded_channel();
     let (notices, queue) = mpsc::unbounded_channel();
     let (doors, at_doors) = watch::channel(Doors::Open);
-    let revision = config.known.revision;
+    let (platform, at_platform) = watch::channel(config.discovery);
     let links = Links { inputs: inputs.clone(), notices, doors };
-    let host = Host::new(&config.settings, seed, config.known, store, links).map_err(StartError::Settings)?;
+    let host = Host::new(&config.settings, seed, config.known, store, links, budget)
+        .map_err(StartError::Settings)?;
     // Only now: a sender that can be reached has taken up what it owes.
     let address = config.listen;
     let listener =
         TcpListener::bind(address).await.map_err(|source| StartError::Listen { address, source })?;
     eprintln!("listening on {}", listener.local_addr()?);
-    tokio::spawn(discovery::watch(config.discovery, revision, inputs.clone()));
-    tokio::spawn(notices::run(config.discovery, queue, inputs.clone()));
-    let (mut terminated, mut interrupted) =
-        (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    tokio::spawn(discovery::watch(at_platform.clone(), inputs.clone()));
+    tokio::spawn(notices::run(at_platform, queue, inputs.clone()));
     let on_signal = inputs.clone();
     tokio::spawn(async move {
-        tokio::select! {
-            _ = terminated.recv() => {}
-            _ = interrupted.recv() => {}
+        loop {
+            tokio::select! {
+                _ = terminated.recv() => drop(on_signal.send(Input::WindDown)),
+                _ = interrupted.recv() => drop(on_signal.send(Input::WindDown)),
+                _ = reloads.recv() => reload(&platform),
+            }
         }
-        let _ = on_signal.send(Input::WindDown);
     });
-    let server = tokio::spawn(server::serve(listener, inputs, at_doors));
+    let server = tokio::spawn(server::serve(listener, inputs, at_doors, budget));
     host.run(from_all).await;
     let _ = tokio::time::timeout(LAST_ANSWERS, server).await;
     Ok(())
--- /dev/null
+++ b/src/net/budget.rs
@@ -0,0 +1,75 @@
+//! What the limits of the machine leave to each part of the sender: the one place that deals them out.
+use serde::Deserialize;
+
+/// Descriptors besides connections to clients and endpoints: standard streams, the runtime's own, the
+/// listener, the journal and its successor, watch and notices with one connection each on the way out.
+const OWN_SOCKETS: usize = 24;
+/// Share of the descriptors that idle connections to endpoints may hold.
+const IDLE_SHARE: usize = 4;
+/// Memory that one client connection may take: read buffer, head, task.
+const CLIENT_MEMORY: usize = 32 * 1024;
+/// Share of the memory that all client connections may take.
+const CLIENTS_SHARE: usize = 3;
+/// Share of the memory that request bodies may fill before they are handed in.
+const BODIES_SHARE: usize = 8;
+
+/// The limits that the configuration tells.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    memory_mb: f64,
+    sockets: usize,
+    disk_mb: f64,
+}
+
+/// The part of each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Budget {
+    /// Client connections at once.
+    pub clients: usize,
+    /// Bytes of request bodies that are being read, over all clients.
+    pub bodies: usize,
+    /// Idle connections to endpoints.
+    pub idle: usize,
+    /// Connections whose answer is known and not yet read to its end.
+    pub unread: usize,
+    /// Bytes in the folder that lasts.
+    pub disk: u64,
+}
+
+impl Budget {
+    /// Deals the limits out; `calls` may be out at once.
+    pub fn new(limits: &Limits, calls: usize) -> Self {
+        let memory = (limits.memory_mb * 1e6) as usize;
+        let idle = (limits.sockets / IDLE_SHARE).max(1);
+        let unread = calls;
+        // Calls come before clients: what was taken on must be able to go out.
+        let left = limits.sockets.saturating_sub(OWN_SOCKETS + idle + calls + unread);
+        Self {
+            clients: left.min(memory / CLIENTS_SHARE / CLIENT_MEMORY).max(1),
+            bodies: memory / BODIES_SHARE,
+            idle,
+            unread,
+            disk: (limits.disk_mb * 1e6) as u64,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a part that grows past the whole: each gets something, and together they stay under
+    /// the descriptors.
+    #[test]
+    fn the_parts_stay_under_the_limits() {
+        for sockets in [256, 384, 1024] {
+            for calls in [4, 40] {
+                let limits = Limits { memory_mb: 32.0, sockets, disk_mb: 3.0 };
+                let budget = Budget::new(&limits, calls);
+                let all = budget.clients + budget.idle + calls + budget.unread + OWN_SOCKETS;
+                assert!(all <= sockets && budget.clients * CLIENT_MEMORY + budget.bodies < 16_000_000);
+                assert!(budget.clients * 3 >= sockets.min(768) && budget.idle > calls, "{budget:?}");
+            }
+        }
+    }
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// How long one call of the watch may wait for news: short, as an agent that fell silent shows only by it.
@@ -17,7 +18,7 @@
 /// Pause after a failed call: well inside the 200 ms within which a watch goes on.
 const PAUSE: Duration = Duration::from_millis(50);
 /// No list is longer.
-const MOST_BYTES: usize = 8 << 20;
+const MOST_BYTES: usize = 2 << 20;
 
 /// A version of the list, or the changes that led to it.
 #[derive(Debug, Deserialize)]
@@ -62,16 +63,28 @@
     Json(#[from] serde_json::Error),
 }
 
-/// Watches the list from `revision` on, for as long as the host listens.
-pub async fn watch(agent: SocketAddr, mut revision: u64, host: UnboundedSender<Input>) {
+/// Watches the list at the agent's present address, for as long as the host listens. Every agent is asked
+/// for the whole list first: its revisions need not follow another's, nor those of an earlier process.
+pub async fn watch(mut agents: watch::Receiver<SocketAddr>, host: UnboundedSender<Input>) {
+    let mut revision = None;
     let mut connection = None;
     let mut failing = false;
     loop {
-        let answer = timeout(HOLD + PATIENCE, next(agent, revision, &mut connection)).await;
+        let agent = *agents.borrow_and_update();
+        let answer = tokio::select! {
+            moved = agents.changed() => {
+                if moved.is_err() {
+                    return;
+                }
+                (revision, connection) = (None, None);
+                continue;
+            }
+            answer = timeout(HOLD + PATIENCE, next(agent, revision, &mut connection)) => answer,
+        };
         match answer.unwrap_or(Err(WatchError::Silent)) {
             Ok(targets) => {
                 failing = false;
-                revision = targets.revision;
+                revision = Some(targets.revision);
                 if host.send(Input::Targets(targets)).is_err() {
                     return;
                 }
@@ -91,14 +104,17 @@
 
 async fn next(
     agent: SocketAddr,
-    revision: u64,
+    revision: Option<u64>,
     kept: &mut Option<Connection>,
 ) -> Result<Targets, WatchError> {
     let mut connection = match kept.take() {
         Some(connection) => connection,
         None => Connection::open(agent, HOLD).await?,
     };
-    let path = format!("/api/targets?from={revision}&hold_ms={}", HOLD.as_millis());
+    let path = match revision {
+        Some(revision) => format!("/api/targets?from={revision}&hold_ms={}", HOLD.as_millis()),
+        None => "/api/targets".to_owned(),
+    };
     let answer = connection.send(request(Method::GET, &path, agent), Bytes::new()).await?;
     if !answer.status().is_success() {
         return Err(WatchError::Status(answer.status()));
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -1,5 +1,6 @@
 //! The loop round the decision module: feeds it events, carries out its actions, and keeps the journal ahead
 //! of both. It maps the wire's names to the module's numbers.
+use super::budget::Budget;
 use super::discovery::{Phase, Targets};
 use super::notices::Notice;
 use super::pool::{Call, Called, Connection, Parcel, Pool, ReportFields};
@@ -134,6 +135,7 @@
         known: Targets,
         store: Store,
         links: Links,
+        budget: Budget,
     ) -> Result<Self, String> {
         let names = profile.names();
         let settings = Settings { ends_noticed: true, calls_expire_whole: true, ..profile.settings(&names)? };
@@ -143,7 +145,7 @@
             settings,
             names,
             store,
-            pool: Pool::new(Duration::from_micros(idle.0)),
+            pool: Pool::new(Duration::from_micros(idle.0), budget.idle),
             fields: ReportFields {
                 left: profile.report_field("x0").is_some(),
                 limit: profile.report_field("x1").is_some(),
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// The platform answers at once: past this it is asked again on a new connection.
@@ -41,10 +42,16 @@
     Call(#[from] CallError),
     #[error("status {0}")]
     Status(StatusCode),
+    #[error("the platform has moved")]
+    Moved,
 }
 
-/// Sends what comes in, batched, and each notice until it is answered with 204.
-pub async fn run(platform: SocketAddr, mut queue: UnboundedReceiver<Notice>, host: UnboundedSender<Input>) {
+/// Sends what comes in, batched, and each notice until it is answered with 204, also at another address.
+pub async fn run(
+    mut platforms: watch::Receiver<SocketAddr>,
+    mut queue: UnboundedReceiver<Notice>,
+    host: UnboundedSender<Input>,
+) {
     let mut owed = Vec::new();
     let mut connection = None;
     loop {
@@ -56,7 +63,14 @@
         {
             owed.push(notice);
         }
-        let sent = timeout(PATIENCE, post(platform, &owed, &mut connection)).await;
+        if platforms.has_changed().unwrap_or(false) {
+            connection = None;
+        }
+        let platform = *platforms.borrow_and_update();
+        let sent = tokio::select! {
+            Ok(()) = platforms.changed() => Ok(Err(NoticeError::Moved)),
+            sent = timeout(PATIENCE, post(platform, &owed, &mut connection)) => sent,
+        };
         match sent.unwrap_or(Err(NoticeError::Silent)) {
             Ok(()) => {
                 let numbers = owed.drain(..).map(|n| n.number).collect();
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -26,8 +26,6 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
-/// Idle connections kept over all endpoints: with the calls out they stay well under the descriptors.
-const MOST_IDLE: usize = 256;
 /// Bodies of answers are read up to this; longer ones cost their connection.
 const MOST_ANSWER: usize = 1 << 20;
 /// How long the body of an answer may take once its status is known.
@@ -213,12 +211,14 @@
 pub struct Pool {
     idle: HashMap<SocketAddr, Vec<(Connection, Instant)>>,
     keep: Duration,
+    most: usize,
 }
 
 impl Pool {
-    /// `idle_time` is how long endpoints keep an idle connection open: ours are dropped well before.
-    pub fn new(idle_time: Duration) -> Self {
-        Self { idle: HashMap::new(), keep: idle_time * 4 / 5 }
+    /// `idle_time` is how long endpoints keep an idle connection open: ours are dropped well before. `most`
+    /// are kept over all endpoints.
+    pub fn new(idle_time: Duration, most: usize) -> Self {
+        Self { idle: HashMap::new(), keep: idle_time * 4 / 5, most }
     }
 
     /// The youngest idle connection to the address, if any is young enough.
@@ -231,7 +231,7 @@
     /// Keeps a connection for the next call.
     pub fn put(&mut self, address: SocketAddr, connection: Connection) {
         self.prune();
-        if self.idle.values().map(Vec::len).sum::<usize>() < MOST_IDLE {
+        if self.idle.values().map(Vec::len).sum::<usize>() < self.most {
             self.idle.entry(address).or_default().push((connection, Instant::now()));
         }
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,32 +1,41 @@
 //! The side that clients see: messages are handed in, and answered once the journal holds them.
+use super::budget::Budget;
 use super::host::{Answer, Input};
 use super::store::Handed;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot, watch};
+use tokio::time::{Instant, Sleep, sleep, timeout};
 
 const MOST_BODY: usize = 64 * 1024;
+/// No head is longer: fields are limited to 1 KiB each, and there are few.
+const MOST_HEAD: usize = 16 * 1024;
 /// Seconds that no deadline is further away; what clients say beyond it is cut.
 const MOST_REMAINING: f64 = 86_400.0;
 /// Longest header field that is kept with a message.
 const MOST_FIELD: usize = 1024;
-/// Client connections at once; with calls and idle connections well under the descriptors.
-const MOST_CLIENTS: usize = 512;
-/// A client that has not sent the rest of its request by then has gone.
-const READ_PATIENCE: Duration = Duration::from_secs(10);
-/// A connection on which nothing was begun for so long makes room for others.
-const IDLE: Duration = Duration::from_secs(60);
+/// A head that is not there by then does not come; a connection without a request ends with it. Clients keep
+/// connections between requests, so it may not be shorter than 2 s.
+const HEAD_PATIENCE: Duration = Duration::from_millis(2100);
+/// The same for a body. Clients wait 400 ms for their answer, so a slower one has gone.
+const BODY_PATIENCE: Duration = Duration::from_millis(500);
+/// How long a connection is read on after its last answer, so that a client still sending hears it.
+const LINGER: Duration = Duration::from_secs(1);
 
 /// What winding down asks of the connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,61 +47,185 @@
     Shut,
 }
 
+/// Room for connections, and those on which nothing waits for an answer: with the house full, the one that
+/// has rested longest makes room for a newcomer.
+struct House {
+    room: Arc<Semaphore>,
+    /// Bytes of bodies that may be read at once.
+    bodies: Arc<Semaphore>,
+    resting: Mutex<Resting>,
+}
+
+#[derive(Default)]
+struct Resting {
+    next: u64,
+    seats: BTreeMap<u64, Arc<Notify>>,
+}
+
+impl House {
+    fn resting(&self) -> MutexGuard<'_, Resting> {
+        self.resting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Asks the connection that has rested longest to leave.
+    fn make_room(&self) {
+        if let Some((_, leave)) = self.resting().seats.pop_first() {
+            leave.notify_one();
+        }
+    }
+}
+
+/// The place of one connection in the house.
+struct Seat {
+    house: Arc<House>,
+    /// Tells the connection that its place is wanted.
+    leave: Arc<Notify>,
+    /// Its place among those that rest, while it does.
+    place: Mutex<Option<u64>>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Seat {
+    fn new(house: Arc<House>, permit: OwnedSemaphorePermit) -> Self {
+        let seat = Self { house, leave: Arc::default(), place: Mutex::default(), _permit: permit };
+        seat.rest();
+        seat
+    }
+
+    fn place(&self) -> MutexGuard<'_, Option<u64>> {
+        self.place.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn rest(&self) {
+        let mut resting = self.house.resting();
+        let place = resting.next;
+        resting.next += 1;
+        resting.seats.insert(place, self.leave.clone());
+        *self.place() = Some(place);
+    }
+
+    /// Its request is there: from now on it is owed an answer. False if its place has been given away.
+    fn rouse(&self) -> bool {
+        let place = self.place().take();
+        place.is_none_or(|place| self.house.resting().seats.remove(&place).is_some())
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.rouse();
+    }
+}
+
+/// A client's stream. Closing it ends the sending side first and reads on for a while: closed at once with
+/// bytes unread, the system would reset the connection and might take the last answer with it.
+struct Lingering {
+    stream: TcpStream,
+    until: Option<Pin<Box<Sleep>>>,
+}
+
+impl AsyncRead for Lingering {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Lingering {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        if this.until.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+        }
+        let until = this.until.get_or_insert_with(|| Box::pin(sleep(LINGER)));
+        let mut scrap = [0; 16 * 1024];
+        while until.as_mut().poll(cx).is_pending() {
+            let mut buf = ReadBuf::new(&mut scrap);
+            ready!(Pin::new(&mut this.stream).poll_read(cx, &mut buf))?;
+            if buf.filled().is_empty() {
+                break;
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
 /// Serves clients until the doors are shut and every request that was read has its answer.
-pub async fn serve(listener: TcpListener, host: UnboundedSender<Input>, mut doors: watch::Receiver<Doors>) {
-    let room = Arc::new(Semaphore::new(MOST_CLIENTS));
+pub async fn serve(
+    listener: TcpListener,
+    host: UnboundedSender<Input>,
+    mut doors: watch::Receiver<Doors>,
+    budget: Budget,
+) {
+    let house = Arc::new(House {
+        room: Arc::new(Semaphore::new(budget.clients)),
+        bodies: Arc::new(Semaphore::new(budget.bodies)),
+        resting: Mutex::default(),
+    });
     loop {
         let accepted = tokio::select! {
             _ = doors.wait_for(|doors| *doors == Doors::Shut) => break,
-            accepted = accept(&listener, &room) => accepted,
+            accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, permit)) => {
-                tokio::spawn(connection(stream, permit, host.clone(), doors.clone()));
+            Ok((stream, _)) => {
+                if house.room.available_permits() == 0 {
+                    house.make_room();
+                }
+                // All seats taken and none at rest: answers are due within milliseconds.
+                let Ok(permit) = house.room.clone().acquire_owned().await else { break };
+                let seat = Arc::new(Seat::new(house.clone(), permit));
+                tokio::spawn(connection(stream, seat, host.clone(), doors.clone()));
             }
             Err(e) => {
                 // Out of descriptors, say: what is open goes on, and closing makes room.
                 eprintln!("accepting: {e}");
+                house.make_room();
                 sleep(Duration::from_millis(20)).await;
             }
         }
     }
     drop(listener);
     // With all permits back, every connection has ended.
-    let _ = room.acquire_many(MOST_CLIENTS as u32).await;
-}
-
-async fn accept(
-    listener: &TcpListener,
-    room: &Arc<Semaphore>,
-) -> std::io::Result<(TcpStream, OwnedSemaphorePermit)> {
-    let permit = room.clone().acquire_owned().await.map_err(std::io::Error::other)?;
-    let (stream, _) = listener.accept().await?;
-    Ok((stream, permit))
+    let _ = house.room.acquire_many(budget.clients as u32).await;
 }
 
 async fn connection(
     stream: TcpStream,
-    _permit: OwnedSemaphorePermit,
+    seat: Arc<Seat>,
     host: UnboundedSender<Input>,
     mut doors: watch::Receiver<Doors>,
 ) {
     let _ = stream.set_nodelay(true);
     let at_door = doors.clone();
+    let at_table = seat.clone();
     let service = service_fn(move |request| {
-        let (host, doors) = (host.clone(), *at_door.borrow());
-        async move { Ok::<_, Infallible>(respond(request, &host, doors).await) }
+        let (seat, host, doors) = (at_table.clone(), host.clone(), *at_door.borrow());
+        async move { Ok::<_, Infallible>(respond(request, &seat, &host, doors).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(IDLE)
+        .header_read_timeout(HEAD_PATIENCE)
+        .max_buf_size(MOST_HEAD)
         // A client may end its sending with its request; it still waits for the answer.
         .half_close(true)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Lingering { stream, until: None }), service);
     tokio::pin!(connection);
     // A client that breaks its connection off hears nothing more: there is nobody to tell of the error.
     tokio::select! {
         _ = connection.as_mut() => return,
+        () = seat.leave.notified() => return,
         _ = doors.wait_for(|doors| *doors == Doors::Shut) => connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
@@ -100,17 +233,19 @@
 
 async fn respond(
     request: Request<Incoming>,
+    seat: &Seat,
     host: &UnboundedSender<Input>,
     doors: Doors,
 ) -> Response<Full<Bytes>> {
     let mut response = match (request.method(), request.uri().path()) {
         (&Method::GET, "/-/ready") if doors == Doors::Open => plain(StatusCode::OK, "ready\n"),
         (&Method::GET, "/-/ready") => plain(StatusCode::SERVICE_UNAVAILABLE, "winding down\n"),
-        (&Method::POST, "/api") => hand_in(request, host).await,
+        (&Method::POST, "/api") => hand_in(request, seat, host).await,
         (_, "/-/ready" | "/api") => plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n"),
         _ => plain(StatusCode::NOT_FOUND, "not found\n"),
     };
-    if doors != Doors::Open {
+    // Whoever sent what cannot be used is out of step, or about to send it again: it starts anew.
+    if doors != Doors::Open || response.status().is_client_error() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -122,24 +257,58 @@
     response
 }
 
-async fn hand_in(request: Request<Incoming>, host: &UnboundedSender<Input>) -> Response<Full<Bytes>> {
+/// Reads a body whole; what is read counts towards what all clients together may fill. It is copied out of
+/// the connection's buffers, which a message would keep for as long as it is held.
+async fn collect(mut body: Incoming, room: &Semaphore) -> Result<Bytes, Response<Full<Bytes>>> {
+    let too_large = || plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n");
+    if body.size_hint().lower() > MOST_BODY as u64 {
+        return Err(too_large());
+    }
+    let mut whole = Vec::new();
+    let mut filled = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let unreadable = |_| plain(StatusCode::BAD_REQUEST, "the body cannot be read\n");
+        let Ok(data) = frame.map_err(unreadable)?.into_data() else { continue };
+        if whole.len() + data.len() > MOST_BODY {
+            return Err(too_large());
+        }
+        let busy = |_| plain(StatusCode::SERVICE_UNAVAILABLE, "too many bodies at once\n");
+        filled.push(room.try_acquire_many(data.len() as u32).map_err(busy)?);
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.into())
+}
+
+async fn hand_in(
+    request: Request<Incoming>,
+    seat: &Seat,
+    host: &UnboundedSender<Input>,
+) -> Response<Full<Bytes>> {
     let came = Instant::now();
     let (head, body) = request.into_parts();
-    let body = match timeout(READ_PATIENCE, Limited::new(body, MOST_BODY).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n");
-        }
-        Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body cannot be read\n"),
+    // Beside a length, a coding may hide another request in the body, and hyper does not show the length
+    // then. Clients tell the length, so a coding is turned down whatever stands beside it.
+    if head.headers.contains_key(TRANSFER_ENCODING) {
+        return plain(StatusCode::LENGTH_REQUIRED, "a Content-Length is needed, and no coding\n");
+    }
+    let body = match timeout(BODY_PATIENCE, collect(body, &seat.house.bodies)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(answer)) => return answer,
         Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
     };
     let (message, remaining) = match read(&head.headers, body) {
         Ok(read) => read,
         Err(what) => return plain(StatusCode::BAD_REQUEST, format!("{what}\n")),
     };
+    if !seat.rouse() {
+        // The connection is about to close: nobody would hear that the message was taken on.
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "not taken on\n");
+    }
     let (answer, answered) = oneshot::channel();
     let _ = host.send(Input::HandIn { message, deadline: came + remaining, answer });
-    match answered.await {
+    let answer = answered.await;
+    seat.rest();
+    match answer {
         Ok(Answer::TakenOn) => plain(StatusCode::ACCEPTED, ""),
         Ok(Answer::Malformed(what)) => plain(StatusCode::BAD_REQUEST, format!("{what}\n")),
         // A host that has ended took nothing on.
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -155,6 +155,11 @@
         self.report.names.iter().position(|n| n == name)
     }
 
+    /// How many calls may be out at once.
+    pub fn most_calls(&self) -> usize {
+        self.specifics.max_calls
+    }
+
     /// How long an endpoint keeps an idle connection open, at the most.
     pub fn connection_idle(&self) -> Option<Span> {
         self.limits.conn_idle.map(Span)
--- a/tests/sockets/clients.rs
+++ b/tests/sockets/clients.rs
@@ -2,6 +2,16 @@
 use super::world::*;
 use serde_json::json;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// What the sender says on the connection until it closes it.
+async fn last_words(stream: &mut TcpStream) -> String {
+    let mut said = Vec::new();
+    let _ = timeout(PATIENCE, stream.read_to_end(&mut said)).await.expect("a close");
+    String::from_utf8(said).unwrap()
+}
 
 /// Guards against changing what is carried: id, key and body go on as they came.
 #[tokio::test]
@@ -117,3 +127,82 @@
     assert_eq!(call.id(), "small");
     call.ok();
 }
+
+/// Guards against clients that wait for ever: one that says nothing, a head or a body that does not go on, and
+/// a body far too long each get an error or a close soon, and the last hears the error though it still sends.
+#[tokio::test]
+async fn clients_that_do_not_go_on_are_let_go() {
+    let platform = Platform::start().await;
+    let node = Node::start(&platform, &[]).await;
+    let head = "POST /api HTTP/1.1\r\nHost: a\r\n";
+    let begun = std::time::Instant::now();
+    let mut waiting = Vec::new();
+    for part in ["", head, &format!("{head}Content-Length: 10\r\n\r\nfive!")] {
+        let mut stream = TcpStream::connect(node.address).await.unwrap();
+        stream.write_all(part.as_bytes()).await.unwrap();
+        waiting.push(stream);
+    }
+    for mut stream in waiting {
+        let said = last_words(&mut stream).await;
+        assert!(said.is_empty() || said.starts_with("HTTP/1.1 4"), "{said}");
+    }
+    assert!(begun.elapsed() < Duration::from_secs(12), "{:?}", begun.elapsed());
+    let long = 60_000_000;
+    let (read, mut write) = TcpStream::connect(node.address).await.unwrap().into_split();
+    write.write_all(format!("{head}Content-Length: {long}\r\n\r\n").as_bytes()).await.unwrap();
+    let sending = tokio::spawn(async move {
+        let part = vec![b'x'; 1 << 20];
+        let mut sent = 0;
+        while sent < long && write.write_all(&part).await.is_ok() {
+            sent += part.len();
+        }
+    });
+    timeout(PATIENCE, sending).await.expect("an end of the sending").unwrap();
+    let mut stream = read;
+    let mut said = [0; 12];
+    timeout(PATIENCE, stream.read_exact(&mut said)).await.expect("an answer").unwrap();
+    assert_eq!(&said, b"HTTP/1.1 413");
+}
+
+/// Guards against a second request hidden in a body: with a length and a coding, each side may read another
+/// body out of the same bytes. Nothing of it goes on.
+#[tokio::test]
+async fn a_body_of_two_lengths_is_turned_down() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    let fields = |id| {
+        format!(
+            "POST /api HTTP/1.1\r\nX-Txn: {id}\r\nX-Lane: unsafe\r\nX-Remaining: 5\r\nX-Envelope: dest=7\r\n"
+        )
+    };
+    let hidden = format!("{}Content-Length: 0\r\n\r\n", fields("hidden"));
+    for order in [
+        ["Content-Length: 5", "Transfer-Encoding: chunked"],
+        ["Transfer-Encoding: chunked", "Content-Length: 5"],
+    ] {
+        let mut stream = TcpStream::connect(node.address).await.unwrap();
+        let request = format!("{}{}\r\n{}\r\n\r\n0\r\n\r\n{hidden}", fields("open"), order[0], order[1]);
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let said = last_words(&mut stream).await;
+        assert!(said.starts_with("HTTP/1.1 4") && said.matches("HTTP/1.1").count() == 1, "{said}");
+    }
+    assert!(endpoint.quiet(Duration::from_millis(200)).await, "a message that was turned down went out");
+}
+
+/// Guards against a house full of connections that ask nothing: they make room, and newcomers are served.
+#[tokio::test]
+async fn a_house_full_of_silent_clients_serves_newcomers() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let few = |config: &mut serde_json::Value| config["limits"]["sockets"] = json!(128);
+    let node =
+        Node::start_with(&platform, &[member("s-1", endpoint.address, "single", "SERVING")], few).await;
+    let mut silent = Vec::new();
+    for n in 0..300 {
+        silent.push(TcpStream::connect(node.address).await.unwrap());
+        if n % 50 == 0 {
+            assert_eq!(node.hand_in(&format!("m{n}"), "keyed", "").await.status(), 202);
+            endpoint.call().await.ok();
+        }
+    }
+    assert_eq!(last_words(&mut silent[0]).await, "");
+}
--- a/tests/sockets/restarts.rs
+++ b/tests/sockets/restarts.rs
@@ -102,3 +102,37 @@
     }
     assert!(endpoint.quiet(Duration::from_millis(300)).await, "a message went out after its end");
 }
+
+/// Guards against a process that a new configuration ends, and against a watch or notices that stay with the
+/// old address, or ask the new agent to go on from the old one's revision.
+#[tokio::test]
+async fn a_new_configuration_moves_watch_and_notices() {
+    let (mut endpoint, mut other) = (Peer::start().await, Peer::start().await);
+    let (mut old, mut new) = (Platform::start().await, Platform::start().await);
+    let mut node = Node::start(&old, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+    endpoint.call().await.reply(answer("500 Internal Server Error", "", ""));
+    assert_eq!(old.notice().await["id"], json!("m1"));
+    // One more fails while nobody acknowledges it.
+    old.deaf.store(true, Ordering::SeqCst);
+    assert_eq!(node.hand_in("m2", "unsafe", "").await.status(), 202);
+    endpoint.call().await.reply(answer("500 Internal Server Error", "", ""));
+    new.tell(&[member("s-2", other.address, "single", "SERVING")]);
+    node.reload(&new);
+    assert_eq!(new.notice().await["id"], json!("m2"));
+    // The whole list of the new agent holds, though its revision is no later: the old endpoint is not on it.
+    let mut n = 0;
+    loop {
+        assert_eq!(node.hand_in(&format!("n{n}"), "keyed", "").await.status(), 202);
+        tokio::select! {
+            call = endpoint.call() => call.ok(),
+            call = other.call() => break call.ok(),
+        }
+        n += 1;
+    }
+    // A file that cannot be read changes nothing, and ends nothing.
+    node.spoil_config();
+    assert_eq!(node.hand_in("m3", "unsafe", "").await.status(), 202);
+    other.call().await.reply(answer("500 Internal Server Error", "", ""));
+    assert_eq!(new.notice().await["id"], json!("m3"));
+}
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -178,7 +178,11 @@
                 if watch.is_some()
                     && let Some(change) = untold.take()
                 {
-                    watch.take().unwrap().reply(answer("200 OK", "", &change.to_string()));
+                    // Without a revision to go on from, the whole list is asked for.
+                    let call = watch.take().unwrap();
+                    let complete = !call.http.first.contains("from=");
+                    let list = json!({"revision": 2, "complete": complete, "members": change});
+                    call.reply(answer("200 OK", "", &list.to_string()));
                 }
             }
         });
@@ -191,8 +195,7 @@
 
     /// Tells a change of the list.
     pub fn tell(&self, members: &[Value]) {
-        let change = json!({"revision": 2, "complete": false, "members": members});
-        self.changes.send(change).unwrap();
+        self.changes.send(json!(members)).unwrap();
     }
 }
 
@@ -280,7 +283,24 @@
 
     /// Begins a planned restart: SIGTERM.
     pub fn terminate(&self) {
-        let kill = format!("kill -TERM {}", self.process.as_ref().unwrap().id());
+        self.signal("TERM");
+    }
+
+    /// Replaces the file of the configuration, with discovery elsewhere, and tells the process: SIGHUP.
+    pub fn reload(&mut self, platform: &Platform) {
+        self.config["discovery"] = json!(platform.address.to_string());
+        std::fs::write(self.folder.path().join("config.json"), self.config.to_string()).unwrap();
+        self.signal("HUP");
+    }
+
+    /// The same with a file that holds no configuration.
+    pub fn spoil_config(&self) {
+        std::fs::write(self.folder.path().join("config.json"), "{").unwrap();
+        self.signal("HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.process.as_ref().unwrap().id());
         assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
     }
 
