Believe an answer only as far as it can be read, and forget endpoints that have gone

Causes, from reading and from loopback tests that failed without the change (a probe each: the peer's answer spoilt in one way): pool.rs booked 429, 503, 504 and 410 as never run by their head, also where the rest was spoilt; took a 200 with an unreadable head for a reset, and a head without end for a time-out; let hyper take for the next call's answer what had come before that call's first byte, if the runtime had not yet seen it. host.rs kept idle connections by address alone, so that a new endpoint was called on a connection to the one before; its ids and the module's lines only grew; it took on destinations that nobody lists, and ids that were over.

- The stream wrapper reads the status out of the answer's first line (past 1xx), and looks at the socket before the first byte of a request: what is there is no answer of its, and a new connection carries the first copy.
- 200 to a single message is true; of anything else only a whole answer counts, the rest may have run.
- Heads and bodies of answers: 64 KiB, 0.5 s.
Told waits and reports are held to what can be.
- The module forgets an endpoint (Action::Forget) once it has been gone for a ramp, no call is out and no wait runs on, and a destination with its last endpoint; `admits` asks for the destination.
- Ids that are over are known for 30 s (8,192 at most).

--- a/src/bin/micadrum-adapter/world.rs
+++ b/src/bin/micadrum-adapter/world.rs
@@ -140,9 +140,11 @@
         }))
     }
 
-    fn output(&self, action: Action) -> Output {
+    /// None for what the wire has no word for: names are never used again there.
+    fn output(&self, action: Action) -> Option<Output> {
         let name = |endpoint: EndpointId| self.names[endpoint.0 as usize].clone();
-        match action {
+        Some(match action {
+            Action::Forget(_) => return None,
             Action::Send { message, endpoint, expires } => {
                 Output::Forward { job: message.0, endpoint: name(endpoint), expire_at: expires.0 }
             }
@@ -155,7 +157,7 @@
             Action::Probe(endpoint) => Output::SoundOut { endpoint: name(endpoint) },
             Action::CloseIdle(endpoint) => Output::CloseIdle { endpoint: name(endpoint) },
             Action::Log(words) => Output::WriteLog { words },
-        }
+        })
     }
 }
 
@@ -192,7 +194,7 @@
             };
             let mut actions = Vec::new();
             instance.sender.step(Time(batch.sim_time), &events, &mut actions);
-            let actions: Vec<Output> = actions.into_iter().map(|a| instance.output(a)).collect();
+            let actions: Vec<Output> = actions.into_iter().filter_map(|a| instance.output(a)).collect();
             if !actions.is_empty() {
                 senders.push(wire::Answer { sender: group.sender, actions });
             }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -154,6 +154,8 @@
     kind: KindId,
     listing: Listing,
     line: usize,
+    /// When it went, if it has.
+    gone: Time,
 }
 
 #[derive(Default)]
@@ -178,6 +180,8 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     destinations: BTreeMap<DestinationId, Destination>,
     lines: Vec<Line>,
+    /// Places in `lines` that are to be used again.
+    free_lines: Vec<usize>,
     calls: BTreeMap<u64, Call>,
     next_call: u64,
     keys: BTreeMap<OrderKey, Key>,
@@ -297,6 +301,7 @@
             endpoints: BTreeMap::new(),
             destinations: BTreeMap::new(),
             lines: Vec::new(),
+            free_lines: Vec::new(),
             calls: BTreeMap::new(),
             next_call: 0,
             keys: BTreeMap::new(),
@@ -323,6 +328,7 @@
         self.end_in_time(actions);
         self.shed(actions);
         self.give_turns(actions);
+        self.forget_gone(actions);
         if self.ask_list_at.take_if(|at| *at <= now).is_some() {
             actions.push(Action::Subscribe);
         }
@@ -350,8 +356,8 @@
             Event::Ended { .. } => self.ended(event, actions),
             Event::Withdrawn(id) => self.withdrawn(*id),
             Event::FullList(entries) => {
-                for endpoint in self.endpoints.values_mut() {
-                    endpoint.listing = Listing::Removed;
+                for endpoint in self.endpoints.values_mut().filter(|e| e.listing != Listing::Removed) {
+                    (endpoint.listing, endpoint.gone) = (Listing::Removed, self.now);
                 }
                 self.list(entries);
             }
@@ -408,31 +414,81 @@
         line.told_until = line.told_until.max(Time(self.now.0 + wait.0));
     }
 
-    /// Whether there is room for one more message beside the `held` ones, and time to deliver it.
-    pub fn admits(&self, now: Time, held: usize) -> bool {
+    /// Whether a message for `destination` may be taken on: there is room for one more beside the `held` ones
+    /// and time to deliver it, and the list names the destination, or did until a short while ago.
+    pub fn admits(&self, now: Time, held: usize, destination: DestinationId) -> bool {
         let time = self.ends_at.is_none_or(|end| now.0 + self.settings.connect_timeout.0 < end.0);
-        held < self.settings.most_held && time
+        held < self.settings.most_held && time && self.destinations.contains_key(&destination)
     }
 
     fn list(&mut self, entries: &[Entry]) {
         self.list_failures = 0;
-        for entry in entries.iter().filter(|e| e.kind.0 < self.settings.kinds.len()) {
+        let kinds = self.settings.kinds.len();
+        for entry in entries.iter().filter(|e| e.kind.0 < kinds) {
             let apart = self.settings.kinds[entry.kind.0].routes_apart;
             if let Some(known) = self.endpoints.get_mut(&entry.endpoint) {
+                if known.listing != Listing::Removed {
+                    known.gone = self.now;
+                }
                 known.listing = entry.listing;
                 continue;
             }
             let hint = if self.settings.hints == Hints::None { 0.0 } else { entry.hint };
-            let destination = self.destinations.entry(entry.destination).or_default();
-            destination.endpoints.push(entry.endpoint);
-            if !apart && destination.shared.is_none() {
-                destination.shared = Some(self.lines.len());
-                self.lines.push(Line::new(entry.destination, None, hint));
+            let Entry { endpoint, destination, zone, kind, listing, .. } = *entry;
+            let known = self.destinations.get(&destination).and_then(|d| d.shared);
+            let shared = match known {
+                None if !apart => Some(self.add_line(Line::new(destination, None, hint))),
+                known => known,
+            };
+            let line = self.add_line(Line::new(destination, Some(endpoint), if apart { hint } else { 0.0 }));
+            let of_destination = self.destinations.entry(destination).or_default();
+            of_destination.shared = shared;
+            of_destination.endpoints.push(endpoint);
+            let gone = self.now;
+            self.endpoints.insert(endpoint, Endpoint { destination, zone, kind, listing, line, gone });
+        }
+    }
+
+    fn add_line(&mut self, line: Line) -> usize {
+        match self.free_lines.pop() {
+            Some(place) => {
+                self.lines[place] = line;
+                place
+            }
+            None => {
+                self.lines.push(line);
+                self.lines.len() - 1
+            }
+        }
+    }
+
+    /// Endpoints come and go under ever new ids: what was learned of one that has gone is dropped once no
+    /// call to it is out, no wait that it told runs on, and it has not come back for a ramp. A destination
+    /// goes with its last endpoint.
+    fn forget_gone(&mut self, actions: &mut Vec<Action>) {
+        let (now, ramp) = (self.now, self.settings.rules.ramp.0);
+        let idle = |line: &Line| line.out.is_empty() && now >= line.told_until;
+        let over: Vec<EndpointId> = (self.endpoints.iter())
+            .filter(|(_, e)| e.listing == Listing::Removed && since(now, e.gone) >= ramp)
+            .filter(|(_, e)| idle(&self.lines[e.line]))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            let Some(endpoint) = self.endpoints.remove(&id) else { continue };
+            self.free_lines.push(endpoint.line);
+            if let Some(destination) = self.destinations.get_mut(&endpoint.destination) {
+                destination.endpoints.retain(|other| *other != id);
             }
-            let (line, Entry { destination, zone, kind, listing, .. }) = (self.lines.len(), *entry);
-            self.lines.push(Line::new(destination, Some(entry.endpoint), if apart { hint } else { 0.0 }));
-            self.endpoints.insert(entry.endpoint, Endpoint { destination, zone, kind, listing, line });
+            actions.push(Action::Forget(id));
         }
+        let (lines, free) = (&self.lines, &mut self.free_lines);
+        self.destinations.retain(|_, d| {
+            let stays = !d.endpoints.is_empty() || d.calls > 0 || d.shared.is_some_and(|l| !idle(&lines[l]));
+            if !stays {
+                free.extend(d.shared);
+            }
+            stays
+        });
     }
 
     fn ended(&mut self, event: &Event, actions: &mut Vec<Action>) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -380,6 +380,8 @@
     Probe(EndpointId),
     /// Close this sender's idle connections to an endpoint.
     CloseIdle(EndpointId),
+    /// Nothing of an endpoint that has gone matters any more; listed again, it may have another number.
+    Forget(EndpointId),
     /// A line for people on call.
     Log(String),
 }
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -11,9 +11,10 @@
     Action, ClassId, DestinationId, EndpointId, Entry, Event, Listing, Message, MessageId, OrderKey, Outcome,
     Repeat, Report, Resumed, Sender, Settings, Span, TenantId, Time, ZoneId,
 };
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
@@ -24,6 +25,11 @@
 /// From SIGTERM on, clients still come for 0.4 s.
 const STILL_COMING: Duration = Duration::from_millis(600);
 
+/// How long the id of a message that is over is known: deadlines are shorter.
+const KEEP_OVER: Duration = Duration::from_secs(30);
+/// How many of them at the most.
+const MOST_OVER: usize = 8192;
+
 /// What the client is told.
 pub enum Answer {
     TakenOn,
@@ -47,7 +53,7 @@
         may_begin: oneshot::Sender<bool>,
     },
     /// A connection that can carry another call.
-    Idle(SocketAddr, Connection),
+    Idle(EndpointId, SocketAddr, Connection),
     Targets(Targets),
     /// Notices that the platform has acknowledged.
     Noticed(Vec<u32>),
@@ -82,9 +88,38 @@
 }
 
 struct Endpoint {
+    name: String,
     address: SocketAddr,
     zone: String,
     batch: usize,
+    serving: bool,
+}
+
+/// Ids of messages that are over, for as long as a client may still come with one: it must not be delivered
+/// once more.
+#[derive(Default)]
+struct Over {
+    ids: HashSet<Arc<str>>,
+    order: VecDeque<(Instant, Arc<str>)>,
+}
+
+impl Over {
+    fn holds(&self, id: &str) -> bool {
+        self.ids.contains(id)
+    }
+
+    fn add(&mut self, id: &str) {
+        let id: Arc<str> = id.into();
+        if self.ids.insert(id.clone()) {
+            self.order.push_back((Instant::now(), id));
+        }
+        while self.order.len() > MOST_OVER
+            || self.order.front().is_some_and(|(since, _)| since.elapsed() > KEEP_OVER)
+        {
+            let Some((_, id)) = self.order.pop_front() else { return };
+            self.ids.remove(&id);
+        }
+    }
 }
 
 /// When the process winds down.
@@ -103,10 +138,13 @@
     pool: Pool,
     fields: ReportFields,
     clock: Clock,
-    endpoints: Vec<Endpoint>,
+    /// What the list tells of endpoints, until the module has no more use for it.
+    endpoints: HashMap<EndpointId, Endpoint>,
     endpoint_ids: HashMap<String, EndpointId>,
+    next_endpoint: u32,
     /// The number of each message held, by its id.
     numbers: HashMap<String, u32>,
+    over: Over,
     /// Calls that are out, with when they began.
     calls: HashMap<u64, Time>,
     next_call: u64,
@@ -145,15 +183,17 @@
             settings,
             names,
             store,
-            pool: Pool::new(Duration::from_micros(idle.0), budget.idle),
+            pool: Pool::new(Duration::from_micros(idle.0), budget.idle, budget.unread),
             fields: ReportFields {
                 left: profile.report_field("x0").is_some(),
                 limit: profile.report_field("x1").is_some(),
             },
             clock: Clock::new(),
-            endpoints: Vec::new(),
+            endpoints: HashMap::new(),
             endpoint_ids: HashMap::new(),
+            next_endpoint: 0,
             numbers: HashMap::new(),
+            over: Over::default(),
             calls: HashMap::new(),
             next_call: 0,
             pending: Vec::new(),
@@ -231,7 +271,13 @@
                 let ok = messages.iter().all(|n| self.sender.may_begin(now, MessageId(*n), endpoint));
                 let _ = may_begin.send(ok);
             }
-            Input::Idle(address, connection) => self.pool.put(address, connection),
+            Input::Idle(endpoint, address, connection) => {
+                // Nothing more goes to an endpoint that drains, has gone or has moved.
+                let at = self.endpoints.get(&endpoint);
+                if at.is_some_and(|at| at.serving && at.address == address) {
+                    self.pool.put(endpoint, address, connection);
+                }
+            }
             Input::Targets(targets) => self.targets(targets),
             Input::Noticed(numbers) => {
                 for number in numbers {
@@ -254,7 +300,7 @@
     }
 
     fn hand_in(&mut self, message: Handed, deadline: Instant) -> Answer {
-        if self.numbers.contains_key(&message.id) {
+        if self.numbers.contains_key(&message.id) || self.over.holds(&message.id) {
             return Answer::TakenOn;
         }
         let owed = Owed::new(message, self.clock.at(deadline).0);
@@ -263,7 +309,7 @@
             Err(what) => return Answer::Malformed(what),
         };
         let now = self.now();
-        if !self.sender.admits(now, self.numbers.len()) {
+        if !self.sender.admits(now, self.numbers.len(), known.destination) {
             return Answer::Refused;
         }
         let id = owed.message.id.clone();
@@ -375,19 +421,18 @@
                 continue;
             };
             let batch = self.settings.kinds[kind.0].batch.max(1);
-            let new = Endpoint { address: member.host_port, zone: member.locality, batch };
-            let endpoint = match self.endpoint_ids.get(&member.id) {
-                Some(known) => {
-                    self.endpoints[known.0 as usize] = new;
-                    *known
-                }
-                None => {
-                    let id = EndpointId(self.endpoints.len() as u32);
-                    self.endpoints.push(new);
-                    self.endpoint_ids.insert(member.id, id);
-                    id
-                }
-            };
+            let serving = member.phase == Phase::Serving;
+            let endpoint = *self.endpoint_ids.entry(member.id.clone()).or_insert_with(|| {
+                let id = EndpointId(self.next_endpoint);
+                self.next_endpoint += 1;
+                id
+            });
+            let (name, address) = (member.id, member.host_port);
+            let known = Endpoint { name, address, zone: member.locality, batch, serving };
+            self.endpoints.insert(endpoint, known);
+            if !serving {
+                self.pool.close(endpoint);
+            }
             entries.push(Entry {
                 endpoint,
                 destination: DestinationId(member.cell),
@@ -402,6 +447,12 @@
             });
         }
         if targets.complete {
+            for (endpoint, known) in &mut self.endpoints {
+                if known.serving && !entries.iter().any(|entry| entry.endpoint == *endpoint) {
+                    known.serving = false;
+                    self.pool.close(*endpoint);
+                }
+            }
             self.pending.push((self.now(), Event::FullList(entries)));
         } else if !entries.is_empty() {
             self.pending.push((self.now(), Event::ListChanges(entries)));
@@ -437,7 +488,7 @@
         for action in actions {
             match action {
                 Action::Send { message, endpoint, expires } => {
-                    let room = self.endpoints[endpoint.0 as usize].batch;
+                    let room = self.endpoints.get(&endpoint).map_or(1, |at| at.batch);
                     let open = sends
                         .iter_mut()
                         .find(|(to, with, until)| *to == endpoint && *until == expires && with.len() < room);
@@ -454,7 +505,13 @@
                     let wake = at + Duration::from_micros(span.0);
                     self.wake_at = Some(self.wake_at.map_or(wake, |set| set.min(wake)));
                 }
-                Action::CloseIdle(endpoint) => self.pool.close(self.endpoints[endpoint.0 as usize].address),
+                Action::CloseIdle(endpoint) => self.pool.close(endpoint),
+                Action::Forget(endpoint) => {
+                    self.pool.close(endpoint);
+                    if let Some(gone) = self.endpoints.remove(&endpoint) {
+                        self.endpoint_ids.remove(&gone.name);
+                    }
+                }
                 Action::Log(line) => eprintln!("{line}"),
                 // The watch is always on; the module neither calls off nor probes.
                 Action::Subscribe | Action::FetchList | Action::Cancel { .. } | Action::Probe(_) => {}
@@ -467,7 +524,8 @@
 
     fn call(&mut self, endpoint: EndpointId, messages: Vec<MessageId>, expires: Time) {
         let now = self.now();
-        let at = &self.endpoints[endpoint.0 as usize];
+        // The module forgets no endpoint that it sends to.
+        let Some(at) = self.endpoints.get(&endpoint) else { return };
         let (address, zone) = (at.address, at.zone.clone());
         let mut parcels = Vec::with_capacity(messages.len());
         let mut unsent = Vec::new();
@@ -502,10 +560,11 @@
             expires: self.clock.instant(expires),
             connect_timeout: Duration::from_micros(self.settings.connect_timeout.0),
         };
-        let (kept, fields, inputs) = (self.pool.take(address), self.fields, self.inputs.clone());
+        let (kept, unread) = (self.pool.take(endpoint, address), self.pool.unread());
+        let (fields, inputs) = (self.fields, self.inputs.clone());
         tokio::spawn(async move {
-            if let Some(connection) = call.run(kept, fields, &inputs).await {
-                let _ = inputs.send(Input::Idle(address, connection));
+            if let Some(connection) = call.run(kept, fields, &unread, &inputs).await {
+                let _ = inputs.send(Input::Idle(endpoint, address, connection));
             }
         });
     }
@@ -521,6 +580,7 @@
     fn over(&mut self, number: u32) {
         let Some(owed) = self.store.get(number) else { return };
         self.numbers.remove(&owed.message.id);
+        self.over.add(&owed.message.id);
         log_failure(self.store.over(number));
     }
 }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -4,7 +4,7 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_TYPE, HOST, RETRY_AFTER};
 use hyper::http::request::Builder;
@@ -12,24 +12,30 @@
 use hyper_util::rt::TokioIo;
 use micadrum::{EndpointId, Outcome, Report, Span};
 use serde::{Deserialize, Serialize};
+use socket2::SockRef;
 use std::collections::HashMap;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, Semaphore, oneshot};
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// Bodies of answers are read up to this; longer ones cost their connection.
-const MOST_ANSWER: usize = 1 << 20;
-/// How long the body of an answer may take once its status is known.
-const BODY_PATIENCE: Duration = Duration::from_secs(1);
+/// Heads and bodies of answers are read up to this; longer ones cost their connection.
+const MOST_ANSWER: usize = 64 * 1024;
+/// How long the rest of a head may take after its first line, and the body after its head.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(500);
+/// No told wait is longer.
+const MOST_WAIT: f64 = 3600.0;
+/// No limit that a report tells is higher, in calls a second.
+const MOST_LIMIT: f64 = 1e6;
 
 /// Why a call got no answer.
 #[derive(Debug, thiserror::Error)]
@@ -41,12 +47,16 @@
     Unsent(#[source] hyper::Error),
     #[error("broken after the request was written: {0}")]
     Reset(#[source] hyper::Error),
+    /// Something came back that is no answer; where its first line can be read, it still tells the status.
+    #[error("an answer that cannot be read, of status {0:?}")]
+    Spoilt(Option<u16>),
 }
 
 /// How much of the request on a connection has been written, counted on the way to the socket: the one way
 /// to know whether a call that broke may have run.
 #[derive(Default)]
 struct Written {
+    begun: bool,
     /// Bytes matched of the blank line that ends the head.
     matched: u8,
     body_left: usize,
@@ -54,6 +64,7 @@
 
 impl Written {
     fn count(&mut self, mut bytes: &[u8]) {
+        self.begun = true;
         while self.matched < 4
             && let Some((first, rest)) = bytes.split_first()
         {
@@ -72,26 +83,124 @@
     }
 }
 
-/// A stream that counts what is written to it. It takes no vectored writes, which keeps the count simple.
-struct Counted {
+/// The first line of an answer, as far as it has come: hyper does not tell it where the rest of the head
+/// cannot be read.
+#[derive(Default)]
+struct FirstLine {
+    start: Vec<u8>,
+    /// What has come of the blank line that ends an interim answer's head, while one is passed over.
+    interim: Option<u8>,
+    /// Set once there is something: the status, if it can be read.
+    status: Option<Option<u16>>,
+}
+
+impl FirstLine {
+    /// `HTTP/1.1 200`, and what ends the number.
+    const LENGTH: usize = 13;
+
+    fn see(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            if self.status.is_some() {
+                return;
+            }
+            if let Some(breaks) = &mut self.interim {
+                *breaks = match byte {
+                    b'\n' => *breaks + 1,
+                    b'\r' => *breaks,
+                    _ => 0,
+                };
+                if *breaks == 2 {
+                    self.interim = None;
+                }
+                continue;
+            }
+            self.start.push(*byte);
+            if self.start.len() < Self::LENGTH && *byte != b'\n' {
+                continue;
+            }
+            match std::mem::take(&mut self.start).as_slice() {
+                [
+                    b'H',
+                    b'T',
+                    b'T',
+                    b'P',
+                    b'/',
+                    b'1',
+                    b'.',
+                    b'0' | b'1',
+                    b' ',
+                    status @ ..,
+                    b' ' | b'\r' | b'\n',
+                ] => {
+                    match std::str::from_utf8(status).ok().and_then(|status| status.parse().ok()) {
+                        // An interim answer; the one that counts comes behind it.
+                        Some(100..=199) => self.interim = Some(0),
+                        status => self.status = Some(status),
+                    }
+                }
+                _ => self.status = Some(None),
+            }
+        }
+    }
+}
+
+/// What passes on a connection, for the call that is on it.
+#[derive(Default)]
+struct Exchange {
+    written: Written,
+    first_line: FirstLine,
+    /// Told once the first line of an answer is there.
+    answering: Arc<Notify>,
+}
+
+/// A stream that looks at what passes. It takes no vectored writes, which keeps the count simple.
+struct Watched {
     stream: TcpStream,
-    written: Arc<Mutex<Written>>,
+    exchange: Arc<Mutex<Exchange>>,
 }
 
-impl AsyncRead for Counted {
+impl Watched {
+    fn exchange(&self) -> MutexGuard<'_, Exchange> {
+        self.exchange.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Nothing may have come before a request begins: what is there belongs to no answer of its, and where
+    /// the end is there, nobody would read it. Asked of the system itself, as the runtime learns it later.
+    fn is_fresh(&self) -> io::Result<()> {
+        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(e) => Err(e),
+            Ok(_) => Err(io::ErrorKind::ConnectionAborted.into()),
+        }
+    }
+}
+
+impl AsyncRead for Watched {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let mut exchange = self.exchange();
+        if exchange.first_line.status.is_none() {
+            exchange.first_line.see(&buf.filled()[before..]);
+            if exchange.first_line.status.is_some() {
+                exchange.answering.notify_one();
+            }
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
-impl AsyncWrite for Counted {
+impl AsyncWrite for Watched {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if !self.exchange().written.begun {
+            self.is_fresh()?;
+        }
         let count = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
-        self.written.lock().unwrap_or_else(PoisonError::into_inner).count(&buf[..count]);
+        self.exchange().written.count(&buf[..count]);
         Poll::Ready(Ok(count))
     }
 
@@ -107,7 +216,7 @@
 /// A connection of our own. Dropping it closes it, which also gives up the call on it.
 pub struct Connection {
     requests: http1::SendRequest<Full<Bytes>>,
-    written: Arc<Mutex<Written>>,
+    exchange: Arc<Mutex<Exchange>>,
     driver: AbortHandle,
 }
 
@@ -125,12 +234,14 @@
             Err(_) => return Err(CallError::Connect(io::ErrorKind::TimedOut.into())),
         };
         stream.set_nodelay(true).map_err(CallError::Connect)?;
-        let written = Arc::new(Mutex::new(Written::default()));
-        let io = TokioIo::new(Counted { stream, written: written.clone() });
-        let (requests, connection) = http1::handshake(io).await.map_err(CallError::Unsent)?;
+        let exchange = Arc::<Mutex<Exchange>>::default();
+        let io = Watched { stream, exchange: exchange.clone() };
+        let mut builder = http1::Builder::new();
+        let handshake = builder.max_buf_size(MOST_ANSWER).handshake(TokioIo::new(io));
+        let (requests, connection) = handshake.await.map_err(CallError::Unsent)?;
         // How it ends shows in the call on it, or in `is_alive`.
         let driver = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Self { requests, written, driver })
+        Ok(Self { requests, exchange, driver })
     }
 
     /// Whether it can take a call: asked before a byte of one is written.
@@ -138,26 +249,51 @@
         self.requests.ready().await.is_ok()
     }
 
-    /// Sends one request; the answer is there with its head.
+    /// Sends one request; the answer is there with its head, which may not lag behind its first line.
     pub async fn send(&mut self, request: Builder, body: Bytes) -> Result<Response<Incoming>, CallError> {
-        *self.written() = Written { matched: 0, body_left: body.len() };
+        let written = Written { body_left: body.len(), ..Written::default() };
+        let answering = Arc::new(Notify::new());
+        *self.exchange() =
+            Exchange { written, first_line: FirstLine::default(), answering: answering.clone() };
+        let overdue = async move {
+            answering.notified().await;
+            sleep(ANSWER_PATIENCE).await;
+        };
         let request = request.body(Full::new(body)).unwrap_or_else(|e| {
             // All parts were valid header values when they came in.
             eprintln!("pool: {e}");
             Request::default()
         });
-        self.requests.send_request(request).await.map_err(|e| match self.request_written() {
-            true => CallError::Reset(e),
-            false => CallError::Unsent(e),
+        let answer = tokio::select! {
+            answer = self.requests.send_request(request) => answer,
+            () = overdue => return Err(CallError::Spoilt(self.status())),
+        };
+        answer.map_err(|e| {
+            let exchange = self.exchange();
+            match exchange.first_line.status {
+                _ if !exchange.written.whole() => CallError::Unsent(e),
+                Some(status) => CallError::Spoilt(status),
+                None => CallError::Reset(e),
+            }
         })
     }
 
-    fn written(&self) -> std::sync::MutexGuard<'_, Written> {
-        self.written.lock().unwrap_or_else(PoisonError::into_inner)
+    fn exchange(&self) -> MutexGuard<'_, Exchange> {
+        self.exchange.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn request_written(&self) -> bool {
-        self.written().whole()
+        self.exchange().written.whole()
+    }
+
+    /// Whether any byte of the last request was written.
+    fn request_begun(&self) -> bool {
+        self.exchange().written.begun
+    }
+
+    /// The status in the first line of what has come back, if that can be read.
+    fn status(&self) -> Option<u16> {
+        self.exchange().first_line.status.flatten()
     }
 }
 
@@ -207,38 +343,46 @@
     pub limit: bool,
 }
 
-/// Idle connections by address, the last used one first out: an endpoint that moves leaves its old ones behind.
+/// Idle connections by endpoint and address, the last used one first out: an endpoint that moves leaves its
+/// old ones behind, and one that takes a gone one's address inherits none.
 pub struct Pool {
-    idle: HashMap<SocketAddr, Vec<(Connection, Instant)>>,
+    idle: HashMap<(EndpointId, SocketAddr), Vec<(Connection, Instant)>>,
     keep: Duration,
     most: usize,
+    unread: Arc<Semaphore>,
 }
 
 impl Pool {
     /// `idle_time` is how long endpoints keep an idle connection open: ours are dropped well before. `most`
-    /// are kept over all endpoints.
-    pub fn new(idle_time: Duration, most: usize) -> Self {
-        Self { idle: HashMap::new(), keep: idle_time * 4 / 5, most }
+    /// are kept over all endpoints, and `unread` may be read to the end of an answer that is already known.
+    pub fn new(idle_time: Duration, most: usize, unread: usize) -> Self {
+        let unread = Arc::new(Semaphore::new(unread));
+        Self { idle: HashMap::new(), keep: idle_time * 4 / 5, most, unread }
+    }
+
+    /// Room for connections whose answers are known and not yet read to their end.
+    pub fn unread(&self) -> Arc<Semaphore> {
+        self.unread.clone()
     }
 
-    /// The youngest idle connection to the address, if any is young enough.
-    pub fn take(&mut self, address: SocketAddr) -> Option<Connection> {
+    /// The youngest idle connection to the endpoint at its address, if any is young enough.
+    pub fn take(&mut self, endpoint: EndpointId, address: SocketAddr) -> Option<Connection> {
         self.prune();
-        let idle = self.idle.get_mut(&address)?;
+        let idle = self.idle.get_mut(&(endpoint, address))?;
         idle.pop().map(|(connection, _)| connection)
     }
 
     /// Keeps a connection for the next call.
-    pub fn put(&mut self, address: SocketAddr, connection: Connection) {
+    pub fn put(&mut self, endpoint: EndpointId, address: SocketAddr, connection: Connection) {
         self.prune();
         if self.idle.values().map(Vec::len).sum::<usize>() < self.most {
-            self.idle.entry(address).or_default().push((connection, Instant::now()));
+            self.idle.entry((endpoint, address)).or_default().push((connection, Instant::now()));
         }
     }
 
-    /// Closes what is idle to an address.
-    pub fn close(&mut self, address: SocketAddr) {
-        self.idle.remove(&address);
+    /// Closes what is idle to an endpoint.
+    pub fn close(&mut self, endpoint: EndpointId) {
+        self.idle.retain(|(to, _), _| *to != endpoint);
     }
 
     /// Closes connections that have been idle for too long.
@@ -282,72 +426,95 @@
         self,
         kept: Option<Connection>,
         fields: ReportFields,
+        unread: &Semaphore,
         host: &UnboundedSender<Input>,
     ) -> Option<Connection> {
         let done = |called| drop(host.send(Input::Called(called)));
-        let mut connection = match self.connection(kept, host).await {
-            Ok(Some(connection)) => connection,
+        let (connection, answer) = match self.answer(kept, host).await {
+            Ok(Some(answered)) => answered,
             Ok(None) => {
                 done(self.called(self.all(Outcome::Void), None, None));
                 return None;
             }
-            Err(e) => {
-                done(self.ended_by(&e));
+            Err(outcome) => {
+                let over = outcome == Outcome::Success;
+                let ends = self.parcels.iter().map(|p| (p.number, outcome, over)).collect();
+                done(self.called(ends, None, None));
                 return None;
             }
         };
-        let (request, body) = self.request();
-        match timeout_at(self.expires, connection.send(request, body)).await {
-            Ok(Ok(answer)) if self.parcels.len() > 1 && answer.status() == StatusCode::OK => {
-                // A batch is answered with its whole body, and until then its messages' fates are open.
-                let (head, body) = answer.into_parts();
-                let read = timeout_at(self.expires, Limited::new(body, MOST_ANSWER).collect()).await;
-                let told = told(&head.headers);
-                let (ends, whole) = match read {
-                    Ok(Ok(body)) => (self.batch_ends(&body.to_bytes(), told), true),
-                    Ok(Err(_)) => (self.all(Outcome::Reset), false),
-                    Err(_) => (self.all(Outcome::TimedOut), false),
-                };
-                done(self.called(ends, told, fields.read(&head.headers)));
-                whole.then_some(connection)
-            }
-            Ok(Ok(answer)) => {
-                let told = told(answer.headers());
-                let (outcome, over) = outcome(answer.status(), answer.headers(), told);
-                let ends = self.parcels.iter().map(|p| (p.number, outcome, over)).collect();
-                done(self.called(ends, told, fields.read(answer.headers())));
-                let body = Limited::new(answer.into_body(), MOST_ANSWER).collect();
-                let read = timeout(BODY_PATIENCE, body).await;
-                matches!(read, Ok(Ok(_))).then_some(connection)
-            }
-            Ok(Err(e)) => {
-                done(self.ended_by(&e));
-                None
-            }
-            Err(_) => {
-                // Closed first: what was never written whole then never runs.
-                let outcome =
-                    if connection.request_written() { Outcome::TimedOut } else { Outcome::ConnectFailed };
-                drop(connection);
-                done(self.called(self.all(outcome), None, None));
-                None
-            }
+        let (head, body) = answer.into_parts();
+        let (told, report) = (told(&head.headers), fields.read(&head.headers));
+        let mut called = self.called(Vec::new(), told, report);
+        if head.status == StatusCode::OK && self.parcels.len() == 1 {
+            // Delivered, whatever the body holds: it is read only for the sake of the next call.
+            called.ends = self.parcels.iter().map(|p| (p.number, Outcome::Success, true)).collect();
+            done(called);
+            let _room = unread.try_acquire().ok()?;
+            return whole(body).await.is_some().then_some(connection);
         }
+        // Only a whole answer is believed: one that turns out spoilt may have run, whatever its head says. A
+        // batch is answered with its whole body, and until then its messages' fates are open.
+        let body = timeout_at(self.expires, whole(body)).await.ok().flatten();
+        called.ends = match &body {
+            Some(body) if head.status == StatusCode::OK => self.batch_ends(body, told),
+            Some(_) => {
+                let (outcome, over) = outcome(head.status, &head.headers, told);
+                self.parcels.iter().map(|p| (p.number, outcome, over)).collect()
+            }
+            None => self.all(Outcome::Failure),
+        };
+        done(called);
+        body.is_some().then_some(connection)
     }
 
-    /// A connection for the call; none if its messages may not go out any more once there is one.
-    async fn connection(
+    /// Sends the request and waits for the head of its answer; none if the messages may not go out any more.
+    async fn answer(
         &self,
         kept: Option<Connection>,
         host: &UnboundedSender<Input>,
-    ) -> Result<Option<Connection>, CallError> {
+    ) -> Result<Option<(Connection, Response<Incoming>)>, Outcome> {
         if let Some(mut kept) = kept
             && kept.is_alive().await
         {
-            return Ok(Some(kept));
+            match self.send(&mut kept).await {
+                // It went stale: with no byte of the request written, a new connection carries the first copy.
+                Err(Outcome::ConnectFailed) if !kept.request_begun() => {}
+                answer => return answer.map(|answer| Some((kept, answer))),
+            }
+        }
+        let Some(mut new) = self.connect(host).await? else { return Ok(None) };
+        let answer = self.send(&mut new).await?;
+        Ok(Some((new, answer)))
+    }
+
+    async fn send(&self, connection: &mut Connection) -> Result<Response<Incoming>, Outcome> {
+        let (request, body) = self.request();
+        match timeout_at(self.expires, connection.send(request, body)).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(CallError::Connect(_) | CallError::Unsent(_))) => Err(Outcome::ConnectFailed),
+            Ok(Err(CallError::Reset(_))) => Err(Outcome::Reset),
+            Ok(Err(CallError::Spoilt(status))) => Err(self.spoilt(status)),
+            // The caller drops the connection: what was never written whole then never runs.
+            Err(_) if !connection.request_written() => Err(Outcome::ConnectFailed),
+            Err(_) => Err(Outcome::TimedOut),
         }
+    }
+
+    /// What an answer stands for of which only the first line can be read: 200 to a single message is true, and
+    /// anything else may have run.
+    fn spoilt(&self, status: Option<u16>) -> Outcome {
+        match (status, self.parcels.len()) {
+            (Some(200), 1) => Outcome::Success,
+            _ => Outcome::Failure,
+        }
+    }
+
+    /// A new connection for the call; none if its messages may not go out any more once there is one.
+    async fn connect(&self, host: &UnboundedSender<Input>) -> Result<Option<Connection>, Outcome> {
         let left = self.expires.saturating_duration_since(Instant::now());
-        let new = Connection::open(self.address, left.min(self.connect_timeout)).await?;
+        let new = Connection::open(self.address, left.min(self.connect_timeout)).await;
+        let new = new.map_err(|_| Outcome::ConnectFailed)?;
         let (may_begin, allowed) = oneshot::channel();
         let messages = self.parcels.iter().map(|p| p.number).collect();
         let _ = host.send(Input::Connected { endpoint: self.endpoint, messages, may_begin });
@@ -397,19 +564,20 @@
         self.parcels.iter().map(|p| (p.number, end(p).0, end(p).1)).collect()
     }
 
-    fn ended_by(&self, error: &CallError) -> Called {
-        let outcome = match error {
-            CallError::Connect(_) | CallError::Unsent(_) => Outcome::ConnectFailed,
-            CallError::Reset(_) => Outcome::Reset,
-        };
-        self.called(self.all(outcome), None, None)
-    }
-
     fn called(&self, ends: Vec<(u32, Outcome, bool)>, wait: Option<Span>, report: Option<Report>) -> Called {
         Called { number: self.number, endpoint: self.endpoint, at: Instant::now(), ends, wait, report }
     }
 }
 
+/// The body, if it comes to its end in time and in size.
+async fn whole(body: Incoming) -> Option<Bytes> {
+    if body.size_hint().lower() > MOST_ANSWER as u64 {
+        return None;
+    }
+    let read = timeout(ANSWER_PATIENCE, Limited::new(body, MOST_ANSWER).collect()).await;
+    Some(read.ok()?.ok()?.to_bytes())
+}
+
 /// The outcome that a status stands for, and whether it ends the message.
 fn outcome(status: StatusCode, headers: &HeaderMap, told: Option<Span>) -> (Outcome, bool) {
     match status {
@@ -427,7 +595,7 @@
 /// A told wait: seconds, with decimals.
 fn told(headers: &HeaderMap) -> Option<Span> {
     let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
-    (seconds > 0.0 && seconds.is_finite()).then(|| Span((seconds * 1e6).ceil() as u64))
+    (seconds > 0.0).then(|| Span((seconds.min(MOST_WAIT) * 1e6).ceil() as u64))
 }
 
 impl ReportFields {
@@ -435,10 +603,12 @@
         let text = headers.get("X-Pressure")?.to_str().ok()?;
         let field = |name: &str| -> Option<f64> {
             let mut fields = text.split(',').filter_map(|pair| pair.trim().split_once('='));
-            fields.find(|(n, _)| *n == name)?.1.trim().parse().ok().filter(|v: &f64| v.is_finite())
+            fields.find(|(n, _)| *n == name)?.1.trim().parse().ok()
         };
-        let left = field("x0").filter(|_| self.left);
-        let limit = field("x1").filter(|_| self.limit);
+        // A report with a field that cannot be is not a report: none of it is believed.
+        let left = if self.left { Some(field("x0").filter(|v| (0.0..=1.0).contains(v))?) } else { None };
+        let limit =
+            if self.limit { Some(field("x1").filter(|v| (0.0..=MOST_LIMIT).contains(v))?) } else { None };
         if left.is_none() && limit.is_none() {
             return None;
         }
@@ -501,4 +671,37 @@
         let (second, ()) = tokio::join!(calls, peer);
         assert!(matches!(second, Err(CallError::Reset(_))), "{second:?}");
     }
+
+    /// Guards against taking for an answer what came before its request: the runtime has not seen it yet when
+    /// the request is about to go out, and nothing may be written to that connection any more.
+    #[tokio::test]
+    async fn what_came_before_a_request_does_not_answer_it() {
+        use std::io::{Read, Write};
+        const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (again, asked) = std::sync::mpsc::channel();
+        let (written, is_written) = std::sync::mpsc::channel();
+        let peer = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut got = vec![0; 1024];
+            let read = stream.read(&mut got).unwrap();
+            assert!(read > 0);
+            stream.write_all(ANSWER).unwrap();
+            asked.recv().unwrap();
+            stream.write_all(ANSWER).unwrap();
+            written.send(()).unwrap();
+            assert_eq!(stream.read(&mut got).unwrap_or(0), 0, "something was written");
+        });
+        let mut connection = Connection::open(address, Duration::from_secs(20)).await.unwrap();
+        let first = connection.send(post(address), Bytes::new()).await;
+        assert!(first.unwrap().into_body().collect().await.is_ok());
+        // Blocking keeps the runtime from looking at its sockets meanwhile.
+        again.send(()).unwrap();
+        is_written.recv().unwrap();
+        let second = connection.send(post(address), Bytes::new()).await;
+        assert!(matches!(second, Err(CallError::Unsent(_))) && !connection.request_begun(), "{second:?}");
+        drop(connection);
+        tokio::task::spawn_blocking(|| peer.join().unwrap()).await.unwrap();
+    }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -85,7 +85,9 @@
     pub fn step(&mut self, events: &[Event]) -> Vec<Action> {
         let mut actions = Vec::new();
         self.sender.step(Time(self.now), events, &mut actions);
-        actions.retain(|a| !matches!(a, Action::WakeIn(_) | Action::Log(_) | Action::CloseIdle(_)));
+        actions.retain(|a| {
+            !matches!(a, Action::WakeIn(_) | Action::Log(_) | Action::CloseIdle(_) | Action::Forget(_))
+        });
         actions
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -393,8 +393,9 @@
     let end = Time(host.now + 4 * SECOND);
     host.step(&[Event::WindDown(end)]);
     assert!(sent(&host.message(2, SAFE, 1), 2).is_some());
-    assert!(host.sender.admits(Time(host.now), 0) && !host.sender.admits(Time(host.now), 100));
+    let at = DestinationId(1);
+    assert!(host.sender.admits(Time(host.now), 0, at) && !host.sender.admits(Time(host.now), 100, at));
     host.now = end.0 - SECOND / 2;
     assert_eq!(host.message(3, SAFE, 1), vec![]);
-    assert!(!host.sender.admits(Time(host.now), 0));
+    assert!(!host.sender.admits(Time(host.now), 0, at));
 }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -172,3 +172,58 @@
         host.now += 5 * SECOND;
     }
 }
+
+/// Guards against a memory that grows with every endpoint that was ever listed, and against forgetting one too
+/// soon: with a call out, while a wait that it told runs on, or before a ramp has passed.
+#[test]
+fn endpoints_that_have_gone_are_forgotten() {
+    let forgotten = |actions: &[Action]| -> Vec<u32> {
+        let ids = actions.iter().filter_map(|a| match a {
+            Action::Forget(id) => Some(id.0),
+            _ => None,
+        });
+        ids.collect()
+    };
+    let mut sender = Sender::new(settings(), 7).unwrap();
+    let mut actions = Vec::new();
+    let gone = |e: u32| Entry { listing: Listing::Removed, ..entry(1, e, 0, 0) };
+    let message = |n: u32, deadline| Message {
+        id: MessageId(n),
+        class: UNSAFE,
+        tenant: None,
+        key: None,
+        destination: DestinationId(1),
+        budget: Span(deadline),
+    };
+    sender.step(Time(0), &[Event::FullList(vec![entry(1, 1, 0, 0)])], &mut actions);
+    sender.step(Time(10_000), &[Event::Message(message(1, 60 * SECOND))], &mut actions);
+    assert!(actions.iter().any(|a| matches!(a, Action::Send { .. })));
+    actions.clear();
+    // The one with the call out stays; those that came and went since do not add up.
+    let mut now = SECOND;
+    for e in 2..40 {
+        let events = [Event::ListChanges(vec![gone(e - 1), entry(1, e, 0, 0)])];
+        sender.step(Time(now), &events, &mut actions);
+        now += SECOND;
+    }
+    let ramp = settings().rules.ramp.0 / SECOND;
+    assert_eq!(forgotten(&actions), (2..39 - ramp as u32).collect::<Vec<_>>());
+    actions.clear();
+    let outcome = Outcome::Full(Some(Span(20 * SECOND)));
+    let ended = Event::Ended {
+        message: MessageId(1),
+        attempt: 0,
+        outcome,
+        elapsed: Span(SECOND),
+        last: false,
+        report: None,
+    };
+    sender.step(Time(now), &[ended, Event::ListChanges(vec![gone(39)])], &mut actions);
+    // Without any endpoint the destination is still known, as long as it told a wait.
+    sender.step(Time(now + 19 * SECOND), &[], &mut actions);
+    let destination = message(1, 0).destination;
+    assert!(sender.admits(Time(now), 0, destination));
+    sender.step(Time(now + 21 * SECOND), &[], &mut actions);
+    assert!(!sender.admits(Time(now), 0, destination));
+    assert_eq!(forgotten(&actions).len() as u64, ramp + 2);
+}
--- a/tests/sockets/calls.rs
+++ b/tests/sockets/calls.rs
@@ -181,3 +181,95 @@
     call.ok();
     drop(first);
 }
+
+/// Guards against believing an answer that cannot be read: the message may have run, whatever the spoilt answer
+/// says, so an unsafe one fails, soon, and never goes again.
+#[tokio::test]
+async fn a_spoilt_answer_may_have_run() {
+    for spoilt in [
+        "%#! no answer at all\r\n\r\n",
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 5\r\n\r\n",
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 3000000000\r\n\r\nand so on",
+        "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 0.1\r\nContent-Length: -1\r\n\r\n",
+        "HTTP/1.1 410 Gone\r\nX-Head: without end",
+    ] {
+        let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+        let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+        assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+        endpoint.call().await.reply(Reply::Answer(spoilt.to_owned()));
+        let failed = platform.notice().await;
+        assert_eq!(failed, json!({"id": "m1", "state": "failed"}), "{spoilt:?}");
+        // The connection is of no further use.
+        assert_eq!(node.hand_in("m2", "keyed", "").await.status(), 202);
+        let call = endpoint.call().await;
+        assert_eq!((call.id(), call.connection), ("m2", 1), "{spoilt:?}");
+        call.ok();
+    }
+}
+
+/// Guards against a false failure, or a second copy: a first line with 200 says that a single message is
+/// delivered, though the rest cannot be read or does not come.
+#[tokio::test]
+async fn a_first_line_with_200_is_true() {
+    let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    let spoilt = [
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\0: ?\r\n\r\n",
+        "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nX-Head: without end",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand so on",
+    ];
+    for (n, spoilt) in spoilt.into_iter().enumerate() {
+        assert_eq!(node.hand_in(&format!("m{n}"), "ordered", "k").await.status(), 202);
+        // It comes only when the one before is over; a second copy of that would come first.
+        let call = endpoint.call().await;
+        assert_eq!((call.id(), call.connection), (format!("m{n}").as_str(), n));
+        call.reply(Reply::Answer(spoilt.to_owned()));
+    }
+    assert_eq!(node.hand_in("last", "ordered", "k").await.status(), 202);
+    let call = endpoint.call().await;
+    assert_eq!(call.id(), "last");
+    call.reply(answer("410 Gone", "", ""));
+    assert_eq!(node.hand_in("fails", "unsafe", "").await.status(), 202);
+    endpoint.call().await.reply(answer("500 Internal Server Error", "", ""));
+    assert_eq!(platform.notice().await["id"], "fails");
+}
+
+/// Guards against answers mixed up: what comes right behind an answer is not the answer of the next call.
+#[tokio::test]
+async fn bytes_behind_an_answer_answer_nothing() {
+    let ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for behind in [ok, "noise"] {
+        let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+        let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+        assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+        endpoint.call().await.reply(Reply::Answer(format!("{ok}{behind}")));
+        assert_eq!(node.hand_in("m2", "unsafe", "").await.status(), 202);
+        let call = endpoint.call().await;
+        assert_eq!((call.id(), call.connection), ("m2", 1));
+        call.reply(answer("500 Internal Server Error", "", ""));
+        assert_eq!(platform.notice().await, json!({"id": "m2", "state": "failed"}));
+    }
+}
+
+/// Guards against calling a new endpoint on a connection to the one that had its address before.
+#[tokio::test]
+async fn an_address_used_again_gets_a_connection_of_its_own() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let at = endpoint.address;
+    let node = Node::start(&platform, &[member("s-1", at, "single", "SERVING")]).await;
+    assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+    endpoint.call().await.ok();
+    platform.tell(&[member("s-1", at, "single", "DELETED"), member("s-2", at, "single", "SERVING")]);
+    // Sooner or later the change is known; until then the old connection is used on.
+    for n in 0.. {
+        assert!(n < 400, "the old connection was kept");
+        assert_eq!(node.hand_in(&format!("n{n}"), "unsafe", "").await.status(), 202);
+        let call = endpoint.call().await;
+        let connection = call.connection;
+        call.ok();
+        if connection > 0 {
+            break;
+        }
+    }
+}
--- a/tests/sockets/clients.rs
+++ b/tests/sockets/clients.rs
@@ -206,3 +206,22 @@
     }
     assert_eq!(last_words(&mut silent[0]).await, "");
 }
+
+/// Guards against taking on what can never be delivered, and against delivering once more what is over: a
+/// destination that nobody lists is refused, and the id of a message that ended is known for a while.
+#[tokio::test]
+async fn unknown_destinations_and_known_ids_go_nowhere() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    let elsewhere = "X-Txn: m1\r\nX-Lane: unsafe\r\nX-Remaining: 5\r\nX-Envelope: dest=8\r\n";
+    assert_eq!(node.request("POST /api", elsewhere, b"").await.status(), 503);
+    assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+    endpoint.call().await.ok();
+    // The next of a key goes out only when the one before is over; so is the first message by then.
+    for id in ["k1", "k2"] {
+        assert_eq!(node.hand_in(id, "ordered", "k").await.status(), 202);
+        endpoint.call().await.ok();
+    }
+    assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+    assert!(endpoint.quiet(Duration::from_millis(300)).await, "a message went out after its end");
+}
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -72,6 +72,8 @@
 /// A request that waits for the test's word; unanswered, it hangs until this is dropped.
 pub struct Call {
     pub http: Http,
+    /// Counts the connections of the peer.
+    pub connection: usize,
     reply: oneshot::Sender<Reply>,
 }
 
@@ -101,8 +103,10 @@
         let address = listener.local_addr().unwrap();
         let (to_test, calls) = mpsc::unbounded_channel();
         tokio::spawn(async move {
+            let mut connection = 0;
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, to_test.clone()));
+                tokio::spawn(serve(stream, connection, to_test.clone()));
+                connection += 1;
             }
         });
         Self { address, calls }
@@ -118,10 +122,10 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, to_test: mpsc::UnboundedSender<Call>) {
+async fn serve(mut stream: TcpStream, connection: usize, to_test: mpsc::UnboundedSender<Call>) {
     while let Some(http) = Http::read(&mut stream).await {
         let (reply, replied) = oneshot::channel();
-        if to_test.send(Call { http, reply }).is_err() {
+        if to_test.send(Call { http, connection, reply }).is_err() {
             return;
         }
         match replied.await {
