Hold unsafe messages back only where failures came in a row

That share leaps by 0.2 and more with each failure, and 5% of calls on new connections are reset there (86 of about 1,500), so by chance alone it stays over the 0.2 at which better_held waits. Ruled out: slots, disk, told waits, the pace's tokens on most of them.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -134,6 +134,8 @@
     health: Health,
     failing: f64,
     streak: u32,
+    /// When two calls in a row failed last: single ones are chance, as a spoilt answer or a reset is.
+    doubted: Option<Time>,
     fulls: u32,
     latency: f64,
     deviation: f64,
@@ -857,6 +859,9 @@
             }
             Outcome::Failure | Outcome::TimedOut | Outcome::Reset | Outcome::ConnectFailed => {
                 line.streak += 1;
+                if line.streak > 1 {
+                    line.doubted = Some(now);
+                }
                 // Answers get lost by the dozen, errors seldom: where little is known one tells as much as
                 // all that is. A connection that times out tells more: full tables say no at once.
                 let gone = outcome == Outcome::ConnectFailed && elapsed > s.connect_timeout.0 as f64 / 2.0;
@@ -1049,9 +1054,14 @@
     }
 
     /// An unsafe message has one try: it waits while failures that may have run would cost it more, by the
-    /// learned share, than half a ramp's delay would.
+    /// learned share, than half a ramp's delay would. That share leaps with each failure, so it counts only
+    /// where failures came in a row within a ramp: outages do, what befalls calls singly is not waited out.
     fn better_held(&self, held: &Held, line: &Line) -> bool {
-        let delay = self.settings.rules.ramp.0 as f64 * PATIENCE;
+        let ramp = self.settings.rules.ramp.0;
+        if line.doubted.is_none_or(|doubted| since(self.now, doubted) >= ramp) {
+            return false;
+        }
+        let delay = ramp as f64 * PATIENCE;
         let worth = self.worth(held, 0.0);
         line.failing * worth > (worth - self.worth(held, delay)).max(HOLD_SHARE * worth)
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -160,3 +160,27 @@
     host.now += 3 * SECOND;
     assert!(!closes(&host.raw(&[message(34, SAFE, 2, None)]), 1), "trusted again");
 }
+
+/// Guards against waiting out what is chance: a call that fails singly holds no unsafe message back, however
+/// far it moves the learned share; failures in a row do.
+#[test]
+fn only_failures_in_a_row_hold_unsafe_messages_back() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 0, 0)]);
+    let mut waits_after = |id: u32, failures: u32| {
+        for n in id..id + failures {
+            host.now += SECOND / 10;
+            assert!(sent(&host.message(n, UNSAFE, 1), n).is_some());
+            host.now += SECOND / 10;
+            host.ended(n, 0, Outcome::Reset);
+        }
+        let probe = id + failures;
+        let waits = sent(&host.message(probe, UNSAFE, 1), probe).is_none();
+        host.now += SECOND / 10;
+        host.ended(probe, 0, Outcome::Success);
+        waits
+    };
+    assert!(!waits_after(1, 1));
+    assert!(!waits_after(10, 1));
+    assert!(!waits_after(20, 1));
+    assert!(waits_after(30, 2));
+}
