Give calls up sooner while slots are scarce

The oldest calls out had been silent for 2.4 to 4.4 s, to endpoints that answer in 0.1 to 0.5 s: `expiry` held unsafe messages for 5.75 s and keyed ones for 3 s, whatever waited. Ruled out: limits (tokens to spare), told waits, holds, keys at rest (none), refusals by the disk (none), resets.

With three quarters of the slots taken, a call is given up as is one while answers get lost: eight deviations past the mean, and a fifth of the longest time-out at the least.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,8 +30,10 @@
 const UNSAFE_TIMEOUT_OF_AIM: f64 = 2.3;
 /// Learned share of calls without an answer at which answers count as getting lost.
 const LOST_SHARE: f64 = 0.075;
-/// Shortest time-out of a repeatable message while answers get lost, as a share of the longest.
+/// Shortest time-out while answers get lost or slots are scarce, as a share of the longest.
 const KNOWN_TIMEOUT: f64 = 0.2;
+/// Share of the slots that are taken from which on they count as scarce.
+const SCARCE: f64 = 0.75;
 /// Share of the slots that one line may fill, so that one silent partner cannot take them all.
 const LINE_SLOTS: f64 = 0.5;
 /// Failures in a row that count as an outage.
@@ -913,8 +915,10 @@
         let may_repeat = class.repeat != Repeat::Unsafe;
         let aims = if may_repeat { TIMEOUT_OF_AIM } else { UNSAFE_TIMEOUT_OF_AIM };
         // While answers get lost, a repeatable message waits no longer than for the slowest healthy one.
+        // While slots are scarce none does: a few silent calls would keep all who wait from theirs.
         let most = 2.0 * class.aim.0 as f64 * aims;
-        let early = may_repeat && self.lost > LOST_SHARE && line.latency > 0.0;
+        let scarce = self.calls.len() as f64 >= SCARCE * self.settings.slots as f64;
+        let early = (scarce || may_repeat && self.lost > LOST_SHARE) && line.latency > 0.0;
         let least = if early { most * KNOWN_TIMEOUT } else { most / 2.0 };
         let span = line.slowest(GIVE_UP_DEVS).clamp(least, most);
         after(self.now, span).min(Time(held.deadline.0 - self.settings.period.0))
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -184,3 +184,31 @@
     assert!(!waits_after(20, 1));
     assert!(waits_after(30, 2));
 }
+
+/// Guards against a few silent calls that keep all slots: once these are scarce, a call is given up soon after
+/// the slowest healthy answer would have come, also one with an unsafe message.
+#[test]
+fn time_outs_are_short_while_slots_are_scarce() {
+    let list = (1..=8).map(|d| entry(d, d as u32, 0, 0)).collect();
+    let mut host = Host::new(settings(), list);
+    for d in 1..=8 {
+        for n in 0..20 {
+            let id = d as u32 * 100 + n;
+            host.message(id, UNSAFE, d);
+            host.now += SECOND / 10;
+            host.ended(id, 0, Outcome::Success);
+        }
+    }
+    let mut spans = Vec::new();
+    for d in 1..=8 {
+        let actions = host.message(d as u32, UNSAFE, d);
+        let expires = actions.iter().find_map(|a| match a {
+            Action::Send { expires, .. } => Some(expires.0 - host.now),
+            _ => None,
+        });
+        spans.push(expires.unwrap());
+    }
+    let aim = settings().classes[UNSAFE.0].aim.0;
+    assert!(spans[..6].iter().all(|span| *span > 2 * aim), "{spans:?}");
+    assert!(spans[6..].iter().all(|span| *span < aim), "{spans:?}");
+}
