--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,8 +30,11 @@
 const UNSAFE_TIMEOUT_OF_AIM: f64 = 2.3;
 /// Learned share of calls without an answer at which answers count as getting lost.
 const LOST_SHARE: f64 = 0.075;
-/// Shortest time-out while answers get lost or slots are scarce, as a share of the longest.
+/// Shortest time-out of a repeatable message while answers get lost, and of an unsafe one while slots are
+/// scarce, as a share of the longest.
 const KNOWN_TIMEOUT: f64 = 0.2;
+/// Shortest time-out of a repeatable message while slots are scarce, as a share of the longest.
+const SCARCE_TIMEOUT: f64 = 0.1;
 /// Share of the slots that are taken from which on they count as scarce.
 const SCARCE: f64 = 0.75;
 /// Share of the slots that one line may fill, so that one silent partner cannot take them all.
@@ -918,8 +921,11 @@
         // While slots are scarce none does: a few silent calls would keep all who wait from theirs.
         let most = 2.0 * class.aim.0 as f64 * aims;
         let scarce = self.calls.len() as f64 >= SCARCE * self.settings.slots as f64;
-        let early = (scarce || may_repeat && self.lost > LOST_SHARE) && line.latency > 0.0;
-        let least = if early { most * KNOWN_TIMEOUT } else { most / 2.0 };
+        let least = match line.latency > 0.0 {
+            true if scarce && may_repeat => most * SCARCE_TIMEOUT,
+            true if scarce || may_repeat && self.lost > LOST_SHARE => most * KNOWN_TIMEOUT,
+            _ => most / 2.0,
+        };
         let span = line.slowest(GIVE_UP_DEVS).clamp(least, most);
         after(self.now, span).min(Time(held.deadline.0 - self.settings.period.0))
     }
