--- a/benches/module.rs
+++ b/benches/module.rs
@@ -1,16 +1,15 @@
 //! What one message costs in the decision module alone, by how much is held and how many destinations there are:
-//! steps of 1 ms, 1,000 slots, answers after 20 ms, one class in order, one endpoint a destination. Only the time
+//! steps of 1 ms, 1,000 slots, answers after 10 to 30 ms, one class in order, one endpoint a destination. Only the time
 //! inside `Sender::step` counts. After the table the longest step of each case is told.
 use criterion::{BenchmarkId, Criterion, Throughput};
 use micadrum::*;
-use std::collections::VecDeque;
+use std::collections::BTreeSet;
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
 const SECOND: u64 = 1_000_000;
 const MILLISECOND: u64 = 1_000;
 const SLOTS: usize = 1_000;
-const ANSWER_AFTER: u64 = 20 * MILLISECOND;
 
 fn settings() -> Settings {
     Settings {
@@ -58,7 +57,7 @@
     destinations: u64,
     next: u32,
     /// Who is out, by when the answer comes.
-    out: VecDeque<(u64, MessageId)>,
+    out: BTreeSet<(u64, MessageId)>,
     spent: Duration,
     delivered: u64,
     longest: Duration,
@@ -73,7 +72,7 @@
             now: 1_000 * SECOND,
             destinations,
             next: 0,
-            out: VecDeque::new(),
+            out: BTreeSet::new(),
             spent: Duration::ZERO,
             delivered: 0,
             longest: Duration::ZERO,
@@ -90,7 +89,7 @@
         events.extend((0..held).map(|_| world.message()));
         world.step(&events);
         // Until nothing is left of the beginning.
-        for _ in 0..200 {
+        for _ in 0..500 {
             world.round();
         }
         (world.spent, world.delivered, world.longest) = Default::default();
@@ -121,7 +120,10 @@
         self.longest = self.longest.max(took);
         for action in actions {
             match action {
-                Action::Send { message, .. } => self.out.push_back((self.now + ANSWER_AFTER, message)),
+                Action::Send { message, .. } => {
+                    let answer_after = (10 + u64::from(message.0) * 6_151 % 21) * MILLISECOND;
+                    self.out.insert((self.now + answer_after, message));
+                }
                 Action::Refuse { .. } | Action::Fail(_) => panic!("{action:?}"),
                 _ => {}
             }
@@ -131,9 +133,10 @@
     fn round(&mut self) {
         self.now += MILLISECOND;
         let mut events = Vec::new();
-        while let Some((_, message)) = self.out.pop_front_if(|(at, _)| *at <= self.now) {
+        while let Some((_, message)) = self.out.first().copied().filter(|(at, _)| *at <= self.now) {
+            self.out.pop_first();
             self.delivered += 1;
-            let (outcome, elapsed) = (Outcome::Success, Span(ANSWER_AFTER));
+            let (outcome, elapsed) = (Outcome::Success, Span(20 * MILLISECOND));
             events.push(Event::Ended { message, attempt: 0, outcome, elapsed, last: true, report: None });
             let new = self.message();
             events.push(new);
--- a/src/daemon/connection.rs
+++ b/src/daemon/connection.rs
@@ -60,6 +60,12 @@
         while self.matched < 4
             && let Some((first, rest)) = bytes.split_first()
         {
+            if self.matched == 0 && *first != b'\r' {
+                // Nothing of the blank line begins before the next return.
+                let next = rest.iter().position(|byte| *byte == b'\r');
+                bytes = next.map_or(&[], |at| &rest[at..]);
+                continue;
+            }
             self.matched = match (self.matched, first) {
                 (0 | 2, b'\r') | (1 | 3, b'\n') => self.matched + 1,
                 (_, b'\r') => 1,
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -2,6 +2,7 @@
 //! of both. It maps the wire's names to the module's numbers.
 use super::budget::Budget;
 use super::call::{Call, Outside, Parcel, ReportFields};
+use super::connection::Connection;
 use super::input::{Answer, Called, Doors, Input};
 use super::latest::Latest;
 use super::notices::Notice;
@@ -76,7 +77,7 @@
     settings: Settings,
     names: Names,
     store: Store,
-    pool: Pool,
+    pool: Pool<Connection>,
     clock: Clock,
     /// What the list tells of endpoints, until the module has no more use for it.
     endpoints: BTreeMap<EndpointId, Endpoint>,
@@ -223,7 +224,7 @@
                 // Nothing more goes to an endpoint that drains, has gone or has moved.
                 let at = self.endpoints.get(&endpoint);
                 if at.is_some_and(|at| at.serving && at.address == address) {
-                    self.pool.put(endpoint, address, connection);
+                    self.pool.put(endpoint, address, connection, Instant::now());
                 }
             }
             Input::Targets(targets) => self.targets(targets),
@@ -437,15 +438,15 @@
         }
         let mut actions = Vec::new();
         self.sender.step(now, &events, &mut actions);
-        // Sends of one step to one endpoint share a call; the module lets the messages of a call expire together.
+        // The sends of a call come one after the other, and the module lets its messages expire together.
         let mut sends: Vec<(EndpointId, Vec<MessageId>, Time)> = Vec::new();
         for action in actions {
             match action {
                 Action::Send { message, endpoint, expires } => {
                     let room = self.endpoints.get(&endpoint).map_or(1, |at| at.batch);
-                    let open = sends
-                        .iter_mut()
-                        .find(|(to, with, until)| *to == endpoint && *until == expires && with.len() < room);
+                    let open = sends.last_mut().filter(|(to, with, until)| {
+                        *to == endpoint && *until == expires && with.len() < room
+                    });
                     match open {
                         Some((_, with, _)) => with.push(message),
                         None => sends.push((endpoint, vec![message], expires)),
@@ -514,7 +515,7 @@
             expires: self.clock.instant(expires),
             connect_timeout: Duration::from_micros(self.settings.connect_timeout.0),
         };
-        let (kept, outside) = (self.pool.take(endpoint, address), self.outside.clone());
+        let (kept, outside) = (self.pool.take(endpoint, address, Instant::now()), self.outside.clone());
         spawn_local(async move {
             if let Some(connection) = call.run(kept, &outside).await {
                 let _ = outside.host.send(Input::Idle(endpoint, address, connection));
--- a/src/daemon/pool.rs
+++ b/src/daemon/pool.rs
@@ -1,52 +1,170 @@
-//! Connections kept for the next call.
+//! Connections kept for the next call. Free of I/O and clocks but for what the connections do when dropped.
 use super::connection::Connection;
 use crate::EndpointId;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// What can be kept.
+pub trait Keep {
+    /// Whether the other side has closed it, as far as is known.
+    fn is_closed(&self) -> bool;
+}
+
+impl Keep for Connection {
+    fn is_closed(&self) -> bool {
+        Connection::is_closed(self)
+    }
+}
+
+type Place = (EndpointId, SocketAddr);
+
 /// Idle connections by endpoint and address, the last used one first out: an endpoint that moves leaves its
-/// old ones behind, and one that takes a gone one's address inherits none.
-pub struct Pool {
-    idle: BTreeMap<(EndpointId, SocketAddr), Vec<(Connection, Instant)>>,
+/// old ones behind, and one that takes a gone one's address inherits none. All are kept equally long, so the
+/// order in which they came is that in which they go: nothing looks at all of them.
+pub struct Pool<C> {
+    /// Each place's connections by number, oldest first.
+    idle: BTreeMap<Place, VecDeque<(u64, C)>>,
+    /// When each was put and where, by number.
+    ages: BTreeMap<u64, (Instant, Place)>,
+    next: u64,
     keep: Duration,
     most: usize,
 }
 
-impl Pool {
+impl<C: Keep> Pool<C> {
     /// `idle_time` is how long endpoints keep an idle connection open: ours are dropped well before. `most`
-    /// are kept over all endpoints.
+    /// are kept over all endpoints; past that the oldest goes.
     pub fn new(idle_time: Duration, most: usize) -> Self {
-        Self { idle: BTreeMap::new(), keep: idle_time * 4 / 5, most }
+        Self { idle: BTreeMap::new(), ages: BTreeMap::new(), next: 0, keep: idle_time * 4 / 5, most }
     }
 
-    /// The youngest idle connection to the endpoint at its address, if any is young enough.
-    pub fn take(&mut self, endpoint: EndpointId, address: SocketAddr) -> Option<Connection> {
-        self.prune();
+    /// The youngest idle connection to the endpoint at its address, if any is young enough and not closed.
+    pub fn take(&mut self, endpoint: EndpointId, address: SocketAddr, now: Instant) -> Option<C> {
+        self.prune(now);
         let idle = self.idle.get_mut(&(endpoint, address))?;
-        idle.pop().map(|(connection, _)| connection)
+        let mut taken = None;
+        while let Some((number, connection)) = idle.pop_back() {
+            self.ages.remove(&number);
+            if !connection.is_closed() {
+                taken = Some(connection);
+                break;
+            }
+        }
+        if idle.is_empty() {
+            self.idle.remove(&(endpoint, address));
+        }
+        taken
     }
 
     /// Keeps a connection for the next call.
-    pub fn put(&mut self, endpoint: EndpointId, address: SocketAddr, connection: Connection) {
-        self.prune();
-        if self.idle.values().map(Vec::len).sum::<usize>() < self.most {
-            self.idle.entry((endpoint, address)).or_default().push((connection, Instant::now()));
+    pub fn put(&mut self, endpoint: EndpointId, address: SocketAddr, connection: C, now: Instant) {
+        self.prune(now);
+        if self.most == 0 {
+            return;
+        }
+        if self.ages.len() >= self.most {
+            self.drop_oldest();
         }
+        let place = (endpoint, address);
+        self.idle.entry(place).or_default().push_back((self.next, connection));
+        self.ages.insert(self.next, (now, place));
+        self.next += 1;
     }
 
     /// Closes what is idle to an endpoint.
     pub fn close(&mut self, endpoint: EndpointId) {
-        self.idle.retain(|(to, _), _| *to != endpoint);
+        let of = |place: &Place| place.0 == endpoint;
+        let from = (endpoint, SocketAddr::from(([0, 0, 0, 0], 0)));
+        while let Some((place, idle)) = self.idle.range(from..).next().filter(|(place, _)| of(place)) {
+            let place = *place;
+            for (number, _) in idle {
+                self.ages.remove(number);
+            }
+            self.idle.remove(&place);
+        }
     }
 
     /// Closes connections that have been idle for too long.
-    fn prune(&mut self) {
-        let keep = self.keep;
-        self.idle.retain(|_, idle| {
-            idle.retain(|(connection, since)| since.elapsed() < keep && !connection.is_closed());
-            !idle.is_empty()
-        });
+    fn prune(&mut self, now: Instant) {
+        while let Some((_, (since, _))) = self.ages.first_key_value()
+            && now.saturating_duration_since(*since) >= self.keep
+        {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some((_, (_, place))) = self.ages.pop_first() else { return };
+        let Some(idle) = self.idle.get_mut(&place) else { return };
+        idle.pop_front();
+        if idle.is_empty() {
+            self.idle.remove(&place);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand_chacha::ChaCha8Rng;
+    use rand_chacha::rand_core::{RngCore, SeedableRng};
+    use std::cell::Cell;
+    use std::rc::Rc;
+
+    #[derive(Clone)]
+    struct Fake(u32, Rc<Cell<bool>>);
+
+    impl Keep for Fake {
+        fn is_closed(&self) -> bool {
+            self.1.get()
+        }
+    }
+
+    /// Guards against a connection that is handed out twice, too old, closed, or to another endpoint or address, and
+    /// against more of them than may be kept: against a list that is searched from end to end.
+    #[test]
+    fn a_pool_acts_as_a_searched_list_does() {
+        let keep = Duration::from_millis(80);
+        for seed in 0..100 {
+            let mut random = ChaCha8Rng::seed_from_u64(seed);
+            let mut draw = move |n: u32| random.next_u32() % n;
+            let (mut pool, mut now, mut taken) = (Pool::new(keep * 5 / 4, 12), Instant::now(), 0);
+            let mut model: Vec<(Place, Fake, Instant)> = Vec::new();
+            for number in 0..600 {
+                now += Duration::from_millis(u64::from(draw(10)));
+                model.retain(|(.., since)| now - *since < keep);
+                let address = SocketAddr::from(([127, 0, 0, 1 + draw(2) as u8], 80));
+                let endpoint = EndpointId(draw(4));
+                match draw(10) {
+                    0 => {
+                        pool.close(endpoint);
+                        model.retain(|((of, _), ..)| *of != endpoint);
+                    }
+                    1 if !model.is_empty() => model[draw(model.len() as u32) as usize].1.1.set(true),
+                    2..5 => {
+                        let found = pool.take(endpoint, address, now).map(|fake: Fake| fake.0);
+                        let expected = std::iter::from_fn(|| {
+                            let at = model.iter().rposition(|(of, ..)| *of == (endpoint, address))?;
+                            Some(model.remove(at).1)
+                        });
+                        let expected = { expected }.find(|fake| !fake.is_closed()).map(|fake| fake.0);
+                        assert_eq!(found, expected, "seed {seed}");
+                        taken += usize::from(found.is_some());
+                    }
+                    _ => {
+                        let fake = Fake(number, Rc::default());
+                        pool.put(endpoint, address, fake.clone(), now);
+                        if model.len() == 12 {
+                            model.remove(0);
+                        }
+                        model.push(((endpoint, address), fake, now));
+                    }
+                }
+                assert!(pool.ages.len() <= 12 && pool.idle.values().map(VecDeque::len).sum::<usize>() <= 12);
+            }
+            assert!(taken > 20, "seed {seed}: something was taken");
+        }
     }
 }
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -143,15 +143,21 @@
     next: u32,
     failed_compaction: Option<io::Error>,
     reserved: bool,
+    /// A record on its way to the file.
+    room: Vec<u8>,
 }
 
-fn frame(record: &Record) -> io::Result<Vec<u8>> {
-    let mut frame = postcard::to_extend(record, vec![0; HEADER]).map_err(io::Error::other)?;
+/// Adds a framed record to `bytes`.
+fn frame(record: &Record, mut bytes: Vec<u8>) -> io::Result<Vec<u8>> {
+    let start = bytes.len();
+    bytes.extend([0; HEADER]);
+    let mut bytes = postcard::to_extend(record, bytes).map_err(io::Error::other)?;
+    let frame = &mut bytes[start..];
     let length = u32::try_from(frame.len() - HEADER).map_err(io::Error::other)?;
     frame[..4].copy_from_slice(&length.to_le_bytes());
     let sum = checksum(&frame[..4], &frame[HEADER..]);
     frame[4..HEADER].copy_from_slice(&sum.to_le_bytes());
-    Ok(frame)
+    Ok(bytes)
 }
 
 fn checksum(length: &[u8], payload: &[u8]) -> u32 {
@@ -192,6 +198,7 @@
             next: 0,
             failed_compaction: None,
             reserved: false,
+            room: Vec::new(),
         };
         let (mut at, mut sound, mut damage) = (0, 0, Damage::default());
         while at < bytes.len() {
@@ -266,12 +273,19 @@
     /// this process goes on by what it knows, and the next compaction writes it down.
     fn append(&mut self, record: Record) -> Result<(), StoreError> {
         let needed = matches!(record, Record::Outcome { .. } | Record::Ended(..) | Record::OverSince(..));
-        let written = frame(&record).and_then(|frame| match self.write(&frame) {
-            Err(_) if needed && std::mem::take(&mut self.reserved) => {
-                self.folder.remove(RESERVE)?;
-                self.write(&frame)
-            }
-            done => done,
+        // One buffer for all records: growing a new one for each cost more than the checksum.
+        let mut room = std::mem::take(&mut self.room);
+        room.clear();
+        let written = frame(&record, room).and_then(|frame| {
+            let done = match self.write(&frame) {
+                Err(_) if needed && std::mem::take(&mut self.reserved) => {
+                    self.folder.remove(RESERVE)?;
+                    self.write(&frame)
+                }
+                done => done,
+            };
+            self.room = frame;
+            done
         });
         let refused = written.is_err() && matches!(record, Record::Taken(..));
         if !refused {
@@ -384,7 +398,7 @@
         // In parts, as no record may be longer than any is read.
         let ids = ids.chunks(OVER_IN_RECORD).map(|part| Record::OverIds(part.to_vec()));
         for record in owed.chain(ids) {
-            slice.extend(frame(&record)?);
+            slice = frame(&record, slice)?;
             if slice.len() > SLICE {
                 length += slice.len() as u64;
                 file.append(&slice)?;
--- a/src/decision/line.rs
+++ b/src/decision/line.rs
@@ -1,6 +1,7 @@
 //! Lines: what is learned of one route, or of one destination whose endpoints share a limit.
 
 use super::*;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 /// Time over which a line's own rate is averaged, in seconds: longer than a burst, shorter than an outage.
@@ -137,6 +138,8 @@
     pub(super) told_until: Time,
     pub(super) hold_until: Time,
     pub(super) flow: Flow,
+    /// As it was last worked out.
+    seen: Cell<Flow>,
     streak: u32,
     /// When two calls in a row failed last: single ones are chance, as a spoilt answer or a reset is.
     pub(super) doubted: Option<Time>,
@@ -165,9 +168,7 @@
     pub(super) report: Option<Report>,
     /// Whether limits and told waits are this line's.
     pub(super) gate: bool,
-    /// Whether answers get lost by the dozen.
     pub(super) losses: bool,
-    /// Chance, from 0 to 1.
     pub(super) jitter: f64,
 }
 
@@ -179,7 +180,13 @@
 
     /// What time changes of it, at `now`.
     pub(super) fn flow(&self, now: Time, s: &Settings) -> Flow {
-        if self.flow.at == now { self.flow } else { self.flow.at(now, self.limit, s) }
+        if self.flow.at == now {
+            return self.flow;
+        }
+        if self.seen.get().at != now {
+            self.seen.set(self.flow.at(now, self.limit, s));
+        }
+        self.seen.get()
     }
 
     /// The slowest healthy answer to expect, in microseconds.
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -15,7 +15,7 @@
 use crate::index::calls::{Call, Calls, Ended};
 use crate::index::directory::{Directory, Endpoint};
 use crate::index::held::{Held, Ran, Stage, Try};
-use crate::index::keys::Keys;
+use crate::index::keys::{Keys, Left};
 use crate::index::waiting::{Slip, Stand, Timer, Waiting};
 use crate::index::worth::{bends, worth};
 use crate::interface::*;
@@ -42,7 +42,8 @@
     settings: Settings,
     random: ChaCha8Rng,
     now: Time,
-    held: FxHashMap<MessageId, Held>,
+    // Boxed, as a table that grows moves all of its entries in one step.
+    held: FxHashMap<MessageId, Box<Held>>,
     taken: u64,
     directory: Directory<Line>,
     calls: Calls,
@@ -51,7 +52,6 @@
     /// Messages whose windows have closed, and endpoints that may be forgotten.
     closed: Vec<MessageId>,
     leaving: Vec<(EndpointId, DestinationId)>,
-    /// This step left work to the next.
     unfinished: bool,
     /// Ended, with the notice still open: until then the key is not free.
     unnoticed: FxHashMap<MessageId, (OrderKey, u64)>,
@@ -73,18 +73,6 @@
     *share += POOLED_LEARN * (f64::from(u8::from(seen)) - *share);
 }
 
-fn seconds(span: u64) -> f64 {
-    span as f64 / 1e6
-}
-
-fn after(time: Time, span: f64) -> Time {
-    Time(time.0 + span.max(0.0) as u64)
-}
-
-fn since(now: Time, then: Time) -> u64 {
-    now.0.saturating_sub(then.0)
-}
-
 impl Sender {
     /// A sender with no messages and no list; an error names a setting that cannot be acted on.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
@@ -150,7 +138,7 @@
                 Some(Timer::Ready(id)) => self.file(id),
                 Some(Timer::Window(id)) => self.closed.push(id),
                 Some(Timer::Rest(key)) => self.forget_rested(key),
-                Some(Timer::Look(destination)) => self.waiting.wake(destination),
+                Some(Timer::Look(destination)) => self.waiting.look(destination),
                 Some(Timer::Gone(endpoint, destination)) => self.leaving.push((endpoint, destination)),
                 None => return,
             }
@@ -175,8 +163,6 @@
         }
     }
 
-    // ---- events in -----------------------------------------------------------------------------------
-
     fn take_in(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
             // A class that the settings do not name cannot be decided on: refused, nothing has run.
@@ -218,7 +204,7 @@
         let deadline = Time(self.now.0 + message.budget.0);
         let stage = Stage::Waiting(self.now);
         let held = Held { message, deadline, place, attempts: 0, stage, ran: None, slip: None };
-        self.held.insert(message.id, held);
+        self.held.insert(message.id, Box::new(held));
         self.file(message.id);
     }
 
@@ -352,7 +338,7 @@
         }
     }
 
-    fn remove(&mut self, id: MessageId) -> Option<Held> {
+    fn remove(&mut self, id: MessageId) -> Option<Box<Held>> {
         let held = self.held.remove(&id)?;
         if let Some(slip) = &held.slip {
             self.waiting.unfile(id, slip);
@@ -414,13 +400,12 @@
         f64::from(self.random.next_u32()) / 4_294_967_296.0
     }
 
-    // ---- keys ----------------------------------------------------------------------------------------
-
     fn leave_key(&mut self, id: MessageId, place: u64, key: OrderKey) {
-        if let Some(first) = self.keys.leave(key, place, id) {
-            self.file(first);
+        match self.keys.leave(key, place, id, self.now) {
+            Left::AsBefore => {}
+            Left::First(first) => self.file(first),
+            Left::Rests(until) => self.waiting.timers.set(until, Timer::Rest(key)),
         }
-        self.forget_rested(key);
     }
 
     /// An attempt of this key may still run: newer messages wait until that has settled.
@@ -437,8 +422,6 @@
         }
     }
 
-    // ---- health --------------------------------------------------------------------------------------
-
     fn flow(&self, line: &Line) -> Flow {
         line.flow(self.now, &self.settings)
     }
--- a/src/decision/rules.rs
+++ b/src/decision/rules.rs
@@ -99,8 +99,6 @@
         }
     }
 
-    // ---- retry mechanism -----------------------------------------------------------------------------
-
     /// After an outcome that did not end the message: another try later, or the end.
     pub(super) fn retry(&mut self, id: MessageId, outcome: Outcome, actions: &mut Vec<Action>) {
         let jitter = self.chance();
@@ -116,8 +114,8 @@
         let at = after(self.now, wait);
         held.stage = Stage::Waiting(at);
         let held = &self.held[&id];
-        let none_left = held.attempts >= self.settings.max_attempts;
-        if none_left || at >= self.last_moment(held.deadline) || !self.repeatable(held, at) {
+        let over = held.attempts >= self.settings.max_attempts || at >= self.last_moment(held.deadline);
+        if over || !self.repeatable(held, at) {
             self.end(id, actions);
         } else {
             self.file(id);
@@ -184,7 +182,7 @@
         late.sort_unstable();
         late.dedup();
         self.unfinished |= late.len() > MOST_IN_STEP;
-        for id in late.drain(..) {
+        for id in late.drain(..late.len().min(MOST_IN_STEP)) {
             if self.held.get(&id).is_some_and(|held| self.is_due(held)) {
                 self.end(id, actions);
             }
@@ -211,7 +209,6 @@
         }
     }
 
-    /// How many may be held without shedding any.
     pub(super) fn room(&self) -> usize {
         (self.settings.most_held - (self.settings.most_held / SPARE_ROOM).max(1)).max(1)
     }
--- a/src/decision/turns.rs
+++ b/src/decision/turns.rs
@@ -27,8 +27,6 @@
 const AVOID: f64 = 4.0;
 
 impl Sender {
-    // ---- pacing --------------------------------------------------------------------------------------
-
     /// Limits of our own making: pauses after a refusal, silence, the share of slots, the learned pace.
     pub(super) fn paced(&self, line: &Line) -> bool {
         self.now >= line.hold_until && !line.stalled(self.now) && self.flow(line).tokens >= 1.0
@@ -65,31 +63,39 @@
         after(self.now, span).min(Time(held.deadline.0 - self.settings.period.0))
     }
 
-    // ---- turns ---------------------------------------------------------------------------------------
-
     /// Fair turns: each free slot goes to the waiting destination with the fewest calls out, of those to the
     /// one whose first message is worth most, then to the one whose time is up first: fresh messages before
     /// those already late.
     pub(super) fn give_turns(&mut self, actions: &mut Vec<Action>) {
-        for _ in 0..MOST_IN_STEP {
-            if let Some(woken) = self.waiting.next_woken() {
-                let calls = self.directory.destination(woken).map(|d| d.calls);
-                self.waiting.rank(woken, calls);
-                continue;
+        self.unfinished |= (0..MOST_IN_STEP).all(|_| match self.waiting.next_woken() {
+            Some(woken) => {
+                self.rank(woken);
+                true
             }
+            None => false,
+        });
+        for _ in 0..MOST_IN_STEP {
             if self.calls.len() >= self.settings.slots {
                 return;
             }
             let firsts = self.waiting.firsts();
             let Some(destination) = self.worth_most(firsts.into_iter()) else { return };
             match self.turn(destination) {
-                Ok((id, endpoint)) => self.call(id, endpoint, actions),
+                Ok((id, endpoint)) => {
+                    self.call(id, endpoint, actions);
+                    self.rank(destination);
+                }
                 Err(look) => self.waiting.unrank(destination, look),
             }
         }
         self.unfinished = true;
     }
 
+    fn rank(&mut self, destination: DestinationId) {
+        let calls = self.directory.destination(destination).map(|d| d.calls);
+        self.waiting.rank(destination, calls);
+    }
+
     fn worth_most<T: Ord>(&self, firsts: impl Iterator<Item = (ClassId, Time, T)>) -> Option<T> {
         let firsts = firsts.map(|(class, deadline, of)| (self.worth(class, deadline, 0.0), deadline, of));
         let most = firsts.min_by(|a, b| b.0.total_cmp(&a.0).then_with(|| (a.1, &a.2).cmp(&(b.1, &b.2))));
--- a/src/index/keys.rs
+++ b/src/index/keys.rs
@@ -9,6 +9,17 @@
     rest_until: Time,
 }
 
+/// What a message leaves behind it in its key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Left {
+    /// Nothing that matters to others.
+    AsBefore,
+    /// This one comes first now.
+    First(MessageId),
+    /// A key that rests until then.
+    Rests(Time),
+}
+
 /// All keys that have messages or rest. Their numbers come from strangers: an ordered map, which nobody can make
 /// slow by numbers that collide.
 #[cfg_attr(test, derive(Clone))]
@@ -21,12 +32,17 @@
         self.0.entry(key).or_default().queue.insert((place, id));
     }
 
-    /// A message leaves its key; what comes first now, if that has changed.
-    pub fn leave(&mut self, key: OrderKey, place: u64, id: MessageId) -> Option<MessageId> {
-        let known = self.0.get_mut(&key)?;
+    /// A message leaves its key: what comes first now, if that has changed. The last one takes the key with it, unless
+    /// that still rests `now`: then it is to be forgotten when that is over.
+    pub fn leave(&mut self, key: OrderKey, place: u64, id: MessageId, now: Time) -> Left {
+        let Some(known) = self.0.get_mut(&key) else { return Left::AsBefore };
         let first = known.queue.first() == Some(&(place, id));
         known.queue.remove(&(place, id));
-        known.queue.first().filter(|_| first).map(|(_, id)| *id)
+        match known.queue.first() {
+            Some((_, next)) if first => Left::First(*next),
+            Some(_) => Left::AsBefore,
+            None => self.forget(key, now).map_or(Left::AsBefore, Left::Rests),
+        }
     }
 
     /// Lets a known key rest until then; its first message, if it has one.
@@ -63,12 +79,13 @@
         for (place, id) in [(1, a), (2, b), (3, c)] {
             keys.enter(key, place, id);
         }
-        assert_eq!(keys.leave(key, 2, b), None, "the first is as before");
-        assert_eq!(keys.leave(key, 1, a), Some(c));
+        assert_eq!(keys.leave(key, 2, b, Time(1)), Left::AsBefore);
+        assert_eq!(keys.leave(key, 1, a, Time(1)), Left::First(c));
         assert_eq!(keys.rest(key, Time(50)), Some(c));
         assert_eq!(keys.first(key), Some((Some(c), Time(50))));
-        assert_eq!((keys.forget(key, Time(99)), keys.leave(key, 3, c)), (None, None));
-        assert_eq!((keys.forget(key, Time(49)), keys.forget(key, Time(50))), (Some(Time(50)), None));
+        assert_eq!(keys.forget(key, Time(99)), None, "it has a message");
+        assert_eq!(keys.leave(key, 3, c, Time(49)), Left::Rests(Time(50)));
+        assert_eq!(keys.forget(key, Time(50)), None);
         assert_eq!((keys.first(key), keys.rest(key, Time(9))), (None, None));
     }
 }
--- a/src/index/waiting.rs
+++ b/src/index/waiting.rs
@@ -4,6 +4,7 @@
 use super::timers::Timers;
 use crate::{ClassId, DestinationId, EndpointId, MessageId, OrderKey, Time, ZoneId};
 use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
 
 /// What comes with time alone.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
@@ -85,7 +86,11 @@
     queues: FxHashMap<DestinationId, Queue>,
     /// Destinations that may be sent to, by class of a first message and by calls out.
     ranked: Vec<Shelf<usize, DestinationId>>,
-    woken: Vec<DestinationId>,
+    woken: VecDeque<DestinationId>,
+    /// How many messages are ready.
+    ready: usize,
+    /// Room to work in.
+    heads: Vec<(ClassId, Time)>,
     /// Moment of the present look, and the deadlines that are over by then.
     now: Time,
     dead: Time,
@@ -100,7 +105,9 @@
             ranked: bends.iter().map(|_| Shelf::new()).collect(),
             bends,
             queues: FxHashMap::default(),
-            woken: Vec::new(),
+            woken: VecDeque::new(),
+            ready: 0,
+            heads: Vec::new(),
             now: Time(0),
             dead: Time(0),
         }
@@ -128,6 +135,7 @@
                     lanes.len() - 1
                 });
                 lanes[lane].shelf.insert((), slip.deadline, id);
+                self.ready += 1;
                 self.wake(slip.destination);
             }
         }
@@ -143,6 +151,7 @@
             Stand::Behind => {}
             Stand::Until(at) => self.timers.unset(at, Timer::Ready(id)),
             Stand::Ready => {
+                self.ready -= 1;
                 let Some(queue) = self.queues.get_mut(&slip.destination) else { return };
                 let mut lanes = queue.lanes.iter();
                 let lane = lanes.position(|lane| lane.class == slip.class && lane.zone == slip.zone);
@@ -159,7 +168,7 @@
 
     /// Whether some message only wants an endpoint.
     pub fn any_ready(&self) -> bool {
-        !self.queues.is_empty()
+        self.ready > 0
     }
 
     /// The earliest deadline of all that wait.
@@ -206,13 +215,13 @@
         if let Some(queue) = self.queues.get_mut(&destination)
             && !std::mem::replace(&mut queue.woken, true)
         {
-            self.woken.push(destination);
+            self.woken.push_back(destination);
         }
     }
 
     /// The next that is to be ranked anew.
     pub fn next_woken(&mut self) -> Option<DestinationId> {
-        while let Some(destination) = self.woken.pop() {
+        while let Some(destination) = self.woken.pop_front() {
             if self.queues.get(&destination).is_some_and(|queue| queue.woken) {
                 return Some(destination);
             }
@@ -223,24 +232,27 @@
     /// Enters a destination among the ranked by its first message of each lane; without a count of `calls` out it is
     /// not known, and cannot be sent to.
     pub fn rank(&mut self, destination: DestinationId, calls: Option<usize>) {
-        self.unrank(destination, None);
         let Some(queue) = self.queues.get_mut(&destination) else { return };
-        if queue.lanes.is_empty() {
-            self.queues.remove(&destination);
-            return;
-        }
-        let Some(calls) = calls else { return };
-        queue.calls = calls;
-        for lane in &queue.lanes {
-            let bends = &self.bends[lane.class.0];
+        queue.woken = false;
+        let (bends, mut gives_way) = (&self.bends, None);
+        self.heads.clear();
+        for lane in queue.lanes.iter().filter(|_| calls.is_some()) {
+            let bends = &bends[lane.class.0];
             let Some((deadline, _)) = lane.shelf.best((), &bends.cuts(self.now, self.dead)) else { continue };
-            self.ranked[lane.class.0].insert(calls, deadline, destination);
-            queue.heads.push((lane.class, deadline));
-            queue.look = queue.look.into_iter().chain(bends.gives_way(self.now, deadline)).min();
+            self.heads.push((lane.class, deadline));
+            gives_way = gives_way.into_iter().chain(bends.gives_way(self.now, deadline)).min();
         }
-        if let Some(look) = queue.look {
-            self.timers.set(look, Timer::Look(destination));
+        if queue.heads != self.heads || calls.is_none_or(|calls| calls != queue.calls) {
+            for (class, deadline) in queue.heads.drain(..) {
+                self.ranked[class.0].remove(queue.calls, deadline, destination);
+            }
+            queue.calls = calls.unwrap_or(0);
+            for (class, deadline) in &self.heads {
+                self.ranked[class.0].insert(queue.calls, *deadline, destination);
+            }
+            queue.heads.extend_from_slice(&self.heads);
         }
+        self.look_at(destination, gives_way);
     }
 
     /// Takes a destination off the ranked until `look`, or until it is woken.
@@ -250,11 +262,29 @@
         for (class, deadline) in queue.heads.drain(..) {
             self.ranked[class.0].remove(queue.calls, deadline, destination);
         }
-        if let Some(at) = std::mem::replace(&mut queue.look, look) {
-            self.timers.unset(at, Timer::Look(destination));
+        self.look_at(destination, look);
+    }
+
+    /// Sees to it that a destination is looked at by then. One that is looked at sooner already is put off when that
+    /// has come: a look too many, and far fewer moments to set and unset. A queue that is empty goes with its moment.
+    fn look_at(&mut self, destination: DestinationId, at: Option<Time>) {
+        let Some(queue) = self.queues.get_mut(&destination) else { return };
+        if let Some(at) = at.filter(|at| queue.look.is_none_or(|look| *at < look)) {
+            if let Some(look) = queue.look.replace(at) {
+                self.timers.unset(look, Timer::Look(destination));
+            }
+            self.timers.set(at, Timer::Look(destination));
+        }
+        if queue.look.is_none() && queue.lanes.is_empty() {
+            self.queues.remove(&destination);
         }
-        if let Some(look) = look {
-            self.timers.set(look, Timer::Look(destination));
+    }
+
+    /// The moment has come that a destination was to be looked at.
+    pub fn look(&mut self, destination: DestinationId) {
+        if let Some(queue) = self.queues.get_mut(&destination) {
+            queue.look = None;
+            self.wake(destination);
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -10,6 +10,21 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Span(pub u64);
 
+/// Microseconds as seconds.
+pub(crate) fn seconds(span: u64) -> f64 {
+    span as f64 / 1e6
+}
+
+/// So many microseconds after a time.
+pub(crate) fn after(time: Time, span: f64) -> Time {
+    Time(time.0 + span.max(0.0) as u64)
+}
+
+/// Microseconds from one time to another, none where that comes first.
+pub(crate) fn since(now: Time, then: Time) -> u64 {
+    now.0.saturating_sub(then.0)
+}
+
 /// A message, as the host numbers it; never used again within the life of a sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MessageId(pub u32);
