--- a/crates/micadrum-rehearsal/src/observation.rs
+++ b/crates/micadrum-rehearsal/src/observation.rs
@@ -123,6 +123,11 @@
         /// Until when the call was out: the answer, or the sender's end of the connection, still on its way then.
         out_until: At,
     },
+    /// The sender had ended the connection of a call before the answer reached it: it cannot know what that told.
+    Unheard {
+        /// The call.
+        call: u64,
+    },
     /// The sender ended the connection of a call that had no answer.
     Closed {
         /// The call.
--- a/crates/micadrum-rehearsal/src/world/endpoints.rs
+++ b/crates/micadrum-rehearsal/src/world/endpoints.rs
@@ -241,6 +241,13 @@
             Delivery::Broken | Delivery::Never => return None,
         };
         written.ok()?;
+        if wait.is_some() {
+            // Nothing else comes on this connection before the answer is there.
+            world.until(heard).await;
+            if with.ended_at().is_some_and(|ended| world.at(ended) < heard) {
+                world.saw(Seen::Unheard { call: self.number });
+            }
+        }
         if self.fate.delivery == Delivery::Whole {
             return Some(with);
         }
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -67,7 +67,8 @@
 /// When the process winds down.
 #[derive(Clone, Copy)]
 struct WindDown {
-    shut: Instant,
+    /// From then on it ends as soon as nothing is owed.
+    quiet: Instant,
     end: Instant,
 }
 
@@ -177,13 +178,13 @@
             if self.step_at().is_some_and(|at| at <= now) {
                 self.step();
             }
+            // The doors stay open until the process ends: a client may use a connection for as long as it is open,
+            // and one that it found closed sends it to a new one.
             if let Some(wind_down) = self.winding_down
-                && now >= wind_down.shut
+                && now >= wind_down.quiet
+                && (now >= wind_down.end || (self.calls.is_empty() && self.store.owed().next().is_none()))
             {
-                self.doors.set(Doors::Shut);
-                if now >= wind_down.end || (self.calls.is_empty() && self.store.owed().next().is_none()) {
-                    return;
-                }
+                return;
             }
         }
     }
@@ -199,10 +200,7 @@
     }
 
     fn due(&self) -> Option<Instant> {
-        let wind_down = self.winding_down.map(|w| match self.doors.get() {
-            Doors::Shut => w.end,
-            _ => w.shut,
-        });
+        let wind_down = self.winding_down.map(|w| if Instant::now() < w.quiet { w.quiet } else { w.end });
         self.step_at().into_iter().chain(wind_down).min()
     }
 
@@ -241,7 +239,7 @@
     fn wind_down(&mut self) {
         if self.winding_down.is_none() {
             let now = Instant::now();
-            let wind_down = WindDown { shut: now + STILL_COMING, end: now + WIND_DOWN };
+            let wind_down = WindDown { quiet: now + STILL_COMING, end: now + WIND_DOWN };
             self.winding_down = Some(wind_down);
             self.doors.set(Doors::Closing);
             self.pending.push((self.now(), Event::WindDown(self.clock.at(wind_down.end))));
--- a/src/daemon/input.rs
+++ b/src/daemon/input.rs
@@ -71,8 +71,8 @@
 pub enum Doors {
     /// All as usual.
     Open,
-    /// Each connection ends with its next answer, so that its client goes elsewhere.
+    /// Each connection ends with its next answer, so that its client goes elsewhere; new ones are answered too.
     Closing,
-    /// No new connections, and idle ones are closed.
+    /// The process is about to end: no new connections, and idle ones are closed.
     Shut,
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -117,8 +117,10 @@
             }
         }
     });
-    let server = spawn_local(server::serve(listener, inputs, doors, budget, ports.log.clone()));
+    let server = spawn_local(server::serve(listener, inputs, doors.clone(), budget, ports.log.clone()));
     host.run(from_all).await;
+    // Whoever comes until now has heard an answer.
+    doors.set(Doors::Shut);
     let _ = tokio::time::timeout(LAST_ANSWERS, server).await;
     Ok(())
 }
--- a/tests/sockets/restarts.rs
+++ b/tests/sockets/restarts.rs
@@ -4,6 +4,8 @@
 use std::io::Write;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Guards against losing what was taken on, and against repeating what may have run: after a kill each
 /// message goes on as its kind permits, in the order of its key, and notices that nobody acknowledged go out.
@@ -192,3 +194,41 @@
     ended.sort();
     assert_eq!(ended, ["m0", "m2", "m4", "m6"]);
 }
+
+/// Guards against a request that is cut off while the process winds down: clients use a connection for as long as it is
+/// open, and go to a new one where it was closed. Both are answered for as long as the process lives.
+#[tokio::test]
+async fn connections_are_answered_until_a_winding_down_process_ends() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    assert_eq!(node.hand_in("out", "keyed", "").await.status(), 202);
+    let out = endpoint.call().await;
+    // At rest since before the signal, with nothing asked on it yet.
+    let mut at_rest = TcpStream::connect(node.address).await.unwrap();
+    node.terminate();
+    // Past the time within which clients still come, and before that after which a head is not waited for.
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    at_rest.write_all(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+    let told = Http::read(&mut at_rest).await.expect("an answer on a connection at rest");
+    assert_eq!((told.status(), told.header("connection")), (503, Some("close")));
+    assert_eq!(node.request("GET /-/ready", "", b"").await.status(), 503, "on a new connection");
+    out.ok();
+    assert!(node.ends_well().await);
+}
+
+/// Guards against a second SIGTERM, or a reload, that ends a winding-down process early or keeps it from ending.
+#[tokio::test]
+async fn a_winding_down_process_takes_further_signals_in_good_order() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    assert_eq!(node.hand_in("out", "keyed", "").await.status(), 202);
+    let out = endpoint.call().await;
+    node.terminate();
+    node.terminate();
+    node.reload(&platform);
+    node.terminate();
+    assert_eq!(node.request("GET /-/ready", "", b"").await.status(), 503);
+    out.ok();
+    assert!(node.ends_well().await);
+    assert!(endpoint.quiet(Duration::from_millis(50)).await, "it was delivered once");
+}
