--- a/benches/module.rs
+++ b/benches/module.rs
@@ -145,6 +145,12 @@
     }
 }
 
+/// Resident memory of this process, in bytes.
+fn resident() -> u64 {
+    let pages = std::fs::read_to_string("/proc/self/statm").expect("a system that tells");
+    pages.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok()).expect("a number of pages") * 4096
+}
+
 fn main() {
     let mut criterion = Criterion::default().configure_from_args().sample_size(10);
     let mut longest = Vec::new();
@@ -174,6 +180,30 @@
         longest.extend(world.map(|world| (destinations, held, world.longest)));
     }
     group.finish();
+    // What the module keeps of each, by the process's resident memory.
+    let before = resident();
+    let mut world = World::new(100_000, 0);
+    println!("an endpoint with its destination and lines: {} bytes", (resident() - before) / 100_000);
+    let before = resident();
+    let events: Vec<Event> = (0..100_000).map(|_| world.message()).collect();
+    world.step(&events);
+    drop(events);
+    println!(
+        "a held message, one of three to a key: {} bytes",
+        (resident().saturating_sub(before)) / 100_000
+    );
+    // All of 10,000 endpoints give way to as many others in one list.
+    let mut world = World::new(10_000, 10_000);
+    let entry = |e: u32| Entry {
+        endpoint: EndpointId(10_000 + e),
+        destination: DestinationId(u64::from(e)),
+        kind: KindId(0),
+        zone: ZoneId(0),
+        listing: Listing::Active,
+        hint: 0.0,
+    };
+    world.step(&[Event::FullList((0..10_000).map(entry).collect())]);
+    println!("a step with a list of 10,000 other endpoints: {:?}", world.longest);
     for (destinations, held, longest) in longest {
         println!("longest step at {destinations} destinations, {held} held: {longest:?}");
     }
