--- a/crates/micadrum-rehearsal/src/main.rs
+++ b/crates/micadrum-rehearsal/src/main.rs
@@ -1,107 +1,119 @@
 //! `micadrum-rehearse`: plays a scenario against the daemon, simulated or live, and judges the six rules.
+use clap::{Args, Parser, Subcommand};
 use micadrum_rehearsal::plan::Plan;
 use micadrum_rehearsal::report::Report;
 use micadrum_rehearsal::scenario::Scenario;
 use micadrum_rehearsal::units::Span;
 use micadrum_rehearsal::{hunt, live, sim};
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-const USAGE: &str = "\
-usage: micadrum-rehearse sim SCENARIO [--seed N] [options]      in simulated time
-       micadrum-rehearse live SCENARIO [--seed N] [options]     the built daemon on loopback, in real time
-       micadrum-rehearse hunt SCENARIO --seeds A..B [options]   many seeds, each with faults of its own
-       micadrum-rehearse check SCENARIO...                      reads the files and nothing more
-
-options: --random-faults      adds faults drawn from the seed
-         --faults 0,2,5       plays only these of the plan's faults (`--faults none` for none of them)
-         --length \"60 s\"      another length of the day; random faults are drawn for it
-         --until \"20 s\"       ends the day sooner than planned, with all else as it was
-         --json FILE          writes the report for machines too
-         --logs               shows the senders' logs (sim)
-         --progress           a line each simulated ten minutes; long days tell anyway (sim)
-         --daemon PATH        the daemon's binary (live; beside this one if not given)
-         --jobs N             runs at once (hunt; the machine's cores if not given)
-
-exit: 0 no rule broke, 1 a rule broke, 2 the command or a file is wrong, 3 the run could not be made";
+/// Plays a scenario against the daemon, simulated or live, and judges the six rules.
+///
+/// Exit: 0 no rule broke, 1 a rule broke, 2 the command or a file is wrong, 3 the run could not be made.
+#[derive(Parser)]
+#[command(name = "micadrum-rehearse", version)]
+struct Command {
+    #[command(subcommand)]
+    what: What,
+}
 
-/// A day as long as this tells how far it is without being asked.
-const LONG: Span = Span::seconds(3600);
+#[derive(Subcommand)]
+enum What {
+    /// In simulated time
+    Sim {
+        #[command(flatten)]
+        day: Day,
+        /// What chance follows
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Adds faults drawn from the seed
+        #[arg(long)]
+        random_faults: bool,
+        /// Writes the report for machines too
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// Shows the senders' logs
+        #[arg(long)]
+        logs: bool,
+        /// A line each simulated ten minutes; long days tell anyway
+        #[arg(long)]
+        progress: bool,
+    },
+    /// The built daemon on loopback, in real time
+    Live {
+        #[command(flatten)]
+        day: Day,
+        /// What chance follows
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Adds faults drawn from the seed
+        #[arg(long)]
+        random_faults: bool,
+        /// Writes the report for machines too
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// The daemon's binary; the one beside this if not given
+        #[arg(long, value_name = "PATH")]
+        daemon: Option<PathBuf>,
+    },
+    /// Many seeds, each with faults of its own
+    Hunt {
+        #[command(flatten)]
+        day: Day,
+        /// The seeds, both ends included
+        #[arg(long, value_name = "A..B", value_parser = range)]
+        seeds: RangeInclusive<u64>,
+        /// Runs at once; the machine's cores if not given
+        #[arg(long, value_name = "N", value_parser = clap::value_parser!(u16).range(1..))]
+        jobs: Option<u16>,
+    },
+    /// Reads the files and nothing more
+    Check {
+        /// The scenarios
+        #[arg(required = true)]
+        scenarios: Vec<String>,
+    },
+}
 
-struct Options {
-    scenarios: Vec<String>,
-    seed: u64,
-    seeds: Option<(u64, u64)>,
-    random: bool,
-    faults: Option<Vec<usize>>,
+/// Which day is played.
+#[derive(Args)]
+struct Day {
+    /// The file
+    scenario: String,
+    /// Plays only these of the plan's faults, by number from 0, or "none" of them
+    #[arg(long, value_name = "0,2,5", value_parser = faults)]
+    faults: Option<Faults>,
+    /// Another length of the day, such as "60 s"; random faults are drawn for it
+    #[arg(long, value_parser = Span::parse)]
     length: Option<Span>,
+    /// Ends the day sooner than planned, with all else as it was
+    #[arg(long, value_name = "LENGTH", value_parser = Span::parse)]
     until: Option<Span>,
-    json: Option<PathBuf>,
-    show: sim::Show,
-    daemon: Option<PathBuf>,
-    jobs: usize,
 }
 
-fn options(args: &[String]) -> Result<Options, String> {
-    let jobs = std::thread::available_parallelism().map_or(1, usize::from);
-    let mut o = Options {
-        scenarios: Vec::new(),
-        seed: 1,
-        seeds: None,
-        random: false,
-        faults: None,
-        length: None,
-        until: None,
-        json: None,
-        show: sim::Show::default(),
-        daemon: None,
-        jobs,
-    };
-    let mut args = args.iter();
-    while let Some(arg) = args.next() {
-        let mut value = || args.next().ok_or(format!("{arg} needs a value"));
-        let number = |text: &str| text.parse::<u64>().map_err(|_| format!("{text:?} is no number"));
-        match arg.as_str() {
-            "--seed" => o.seed = number(value()?)?,
-            "--seeds" => {
-                let text = value()?;
-                let (from, to) =
-                    text.split_once("..").ok_or(format!("{text:?} is no range, such as 1..500"))?;
-                o.seeds = Some((number(from)?, number(to)?));
-            }
-            "--random-faults" => o.random = true,
-            "--faults" => {
-                let list = value()?;
-                let list = list.split(',').filter(|n| *n != "none");
-                o.faults = Some(list.map(|n| number(n).map(|n| n as usize)).collect::<Result<_, _>>()?);
-            }
-            "--length" => o.length = Some(Span::parse(value()?)?),
-            "--until" => o.until = Some(Span::parse(value()?)?),
-            "--json" => o.json = Some(value()?.into()),
-            "--logs" => o.show.logs = true,
-            "--progress" => o.show.progress = true,
-            "--daemon" => o.daemon = Some(value()?.into()),
-            "--jobs" => o.jobs = (number(value()?)? as usize).max(1),
-            other if other.starts_with("--") => return Err(format!("unknown option {other}")),
-            file => o.scenarios.push(file.to_owned()),
-        }
-    }
-    Ok(o)
-}
+/// Places of faults in a plan.
+#[derive(Clone)]
+struct Faults(Vec<usize>);
 
-fn scenario(file: &str) -> Result<Scenario, String> {
-    let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
-    Scenario::parse(file, &text).map_err(|e| e.to_string())
+fn faults(text: &str) -> Result<Faults, String> {
+    let places = text.split(',').filter(|place| *place != "none");
+    let number = |place: &str| place.parse().map_err(|_| format!("{place:?} is no number of a fault"));
+    places.map(number).collect::<Result<_, _>>().map(Faults)
 }
 
-fn finish(report: &Report, json: Option<&PathBuf>) -> Result<ExitCode, String> {
-    print!("{}", report.text());
-    if let Some(file) = json {
-        std::fs::write(file, report.json()).map_err(|e| format!("{}: {e}", file.display()))?;
-    }
-    Ok(if report.verdict.kept { ExitCode::SUCCESS } else { ExitCode::from(1) })
+fn range(text: &str) -> Result<RangeInclusive<u64>, String> {
+    let number = |text: &str| text.parse::<u64>().map_err(|_| format!("{text:?} is no number"));
+    let (from, to) = text.split_once("..").ok_or("no range, such as 1..500")?;
+    let (from, to) = (number(from)?, number(to)?);
+    if from > to { Err(format!("{from} comes after {to}")) } else { Ok(from..=to) }
 }
 
+/// A day as long as this tells how far it is without being asked.
+const LONG: Span = Span::seconds(3600);
+
+/// Why nothing was judged.
 enum Wrong {
     /// The command or a file.
     Asked(String),
@@ -109,74 +121,88 @@
     Run(String),
 }
 
-fn run(args: &[String]) -> Result<ExitCode, Wrong> {
-    let Some((command, rest)) = args.split_first() else { return Err(Wrong::Asked(USAGE.to_owned())) };
-    let o = options(rest).map_err(Wrong::Asked)?;
-    if command == "check" {
-        let mut code = ExitCode::SUCCESS;
-        for file in &o.scenarios {
-            match scenario(file) {
-                Ok(scenario) => println!("{file}: fine: {}", scenario.title),
-                Err(e) => {
-                    eprintln!("{e}");
-                    code = ExitCode::from(2);
-                }
-            }
-        }
-        return Ok(code);
-    }
-    let [file] = &o.scenarios[..] else { return Err(Wrong::Asked(USAGE.to_owned())) };
-    let scenario = scenario(file).map_err(Wrong::Asked)?;
-    let plan = |seed: u64| {
+fn scenario(file: &str) -> Result<Scenario, Wrong> {
+    let text = std::fs::read_to_string(file).map_err(|e| Wrong::Asked(format!("{file}: {e}")))?;
+    Scenario::parse(file, &text).map_err(|e| Wrong::Asked(e.to_string()))
+}
+
+impl Day {
+    fn plan(&self, scenario: &Scenario, seed: u64, random: bool) -> Plan {
         let mut scenario = scenario.clone();
-        if let Some(length) = o.length {
+        if let Some(length) = self.length {
             scenario.set_length(length);
         }
         let mut plan = Plan::new(scenario, seed);
-        if o.random || command == "hunt" {
+        if random {
             plan.add_random_faults();
         }
-        if let Some(only) = &o.faults {
+        if let Some(Faults(only)) = &self.faults {
             plan.keep_faults(only);
         }
-        if let Some(until) = o.until {
+        if let Some(until) = self.until {
             plan.cut(until);
         }
         plan
-    };
-    let run = |e: std::io::Error| Wrong::Run(e.to_string());
-    match command.as_str() {
-        "sim" => {
-            let plan = plan(o.seed);
-            let progress = o.show.progress || plan.length() >= LONG;
-            let report = sim::run(plan, sim::Show { progress, ..o.show }).map_err(run)?;
-            finish(&report, o.json.as_ref()).map_err(Wrong::Run)
+    }
+}
+
+fn finish(report: &Report, json: Option<PathBuf>) -> Result<ExitCode, Wrong> {
+    print!("{}", report.text());
+    if let Some(file) = json {
+        std::fs::write(&file, report.json()).map_err(|e| Wrong::Run(format!("{}: {e}", file.display())))?;
+    }
+    Ok(if report.verdict.kept { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
+fn check(files: &[String]) -> ExitCode {
+    let mut code = ExitCode::SUCCESS;
+    for file in files {
+        match scenario(file) {
+            Ok(scenario) => println!("{file}: fine: {}", scenario.title),
+            Err(Wrong::Asked(e) | Wrong::Run(e)) => {
+                eprintln!("{e}");
+                code = ExitCode::from(2);
+            }
+        }
+    }
+    code
+}
+
+fn run(what: What) -> Result<ExitCode, Wrong> {
+    let failed = |e: std::io::Error| Wrong::Run(e.to_string());
+    match what {
+        What::Check { scenarios } => Ok(check(&scenarios)),
+        What::Sim { day, seed, random_faults, json, logs, progress } => {
+            let plan = day.plan(&scenario(&day.scenario)?, seed, random_faults);
+            let progress = progress || plan.length() >= LONG;
+            finish(&sim::run(plan, sim::Show { logs, progress }).map_err(failed)?, json)
         }
-        "live" => {
-            let report = live::run(plan(o.seed), o.daemon).map_err(run)?;
-            finish(&report, o.json.as_ref()).map_err(Wrong::Run)
+        What::Live { day, seed, random_faults, json, daemon } => {
+            let plan = day.plan(&scenario(&day.scenario)?, seed, random_faults);
+            finish(&live::run(plan, daemon).map_err(failed)?, json)
         }
-        "hunt" => {
-            let (from, to) = o.seeds.ok_or(Wrong::Asked("hunt needs --seeds A..B".to_owned()))?;
-            let found = hunt::run(from..=to, o.jobs, &plan, &|done, found| {
+        What::Hunt { day, seeds, jobs } => {
+            let scenario = scenario(&day.scenario)?;
+            let cores = || std::thread::available_parallelism().map_or(1, usize::from);
+            let plan = |seed| day.plan(&scenario, seed, true);
+            let found = hunt::run(seeds, jobs.map_or_else(cores, usize::from), &plan, &|done, found| {
                 if done % 50 == 0 {
                     eprintln!("{done} seeds, {found} that break a rule");
                 }
             });
-            let options = o.length.map_or(String::new(), |length| format!(" --length \"{length}\""));
+            let options = day.length.map_or(String::new(), |length| format!(" --length \"{length}\""));
             for one in &found.failing {
-                println!("{}", one.text(file, &options));
+                println!("{}", one.text(&day.scenario, &options));
             }
             println!("{} seeds played, {} broke a rule", found.played, found.failing.len());
             Ok(if found.failing.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(1) })
         }
-        other => Err(Wrong::Asked(format!("unknown command {other:?}\n{USAGE}"))),
     }
 }
 
 fn main() -> ExitCode {
-    let args: Vec<String> = std::env::args().skip(1).collect();
-    match run(&args) {
+    // A wrong command ends here, with 2.
+    match run(Command::parse().what) {
         Ok(code) => code,
         Err(Wrong::Asked(what)) => {
             eprintln!("{what}");
--- a/crates/micadrum-rehearsal/tests/command.rs
+++ b/crates/micadrum-rehearsal/tests/command.rs
@@ -30,6 +30,16 @@
     {
         assert_eq!(rehearse(args).status.code(), Some(2), "{args:?}");
     }
+    for args in [&["--help"][..], &["--version"], &["hunt", "--help"]] {
+        assert_eq!(rehearse(args).status.code(), Some(0), "{args:?}");
+    }
+    for args in [&["--seeds", "9..3"][..], &["--seeds", "3"], &["--seeds", "1..2", "--jobs", "0"], &[]] {
+        let day = path(&good);
+        let hunt = [&["hunt", day.as_str()], args].concat();
+        assert_eq!(rehearse(&hunt).status.code(), Some(2), "{hunt:?}");
+    }
+    let none = rehearse(&["sim", &path(&good), "--random-faults", "--faults", "none"]);
+    assert!(!String::from_utf8_lossy(&none.stdout).contains("fault: "), "{none:?}");
     assert_eq!(rehearse(&["check", &path(&good)]).status.code(), Some(0));
     assert_eq!(rehearse(&["check", &path(&good), &path(&bad)]).status.code(), Some(2));
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,5 @@
 //! One real sender: takes messages on from clients and delivers them to endpoints, over sockets.
+use clap::Parser;
 use micadrum::daemon::config::Config;
 use micadrum::daemon::ports::Ports;
 use micadrum::daemon::system::{Folder, StandardError, SystemClock, Tcp};
@@ -10,6 +11,14 @@
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::{LocalSet, spawn_local};
 
+/// One sender: takes messages on from clients and delivers them to endpoints.
+///
+/// It reads its configuration from the file that PROXY_CONFIG names, and keeps what outlasts it in the folder that
+/// PROXY_STATE names. SIGHUP reads the configuration again, SIGTERM winds it down.
+#[derive(Parser)]
+#[command(name = "micadrum", version)]
+struct Arguments {}
+
 #[derive(Debug, thiserror::Error)]
 enum StartError {
     #[error("${0} is not set")]
@@ -66,6 +75,7 @@
 }
 
 fn main() -> ExitCode {
+    let Arguments {} = Arguments::parse();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let ran = runtime.map_err(StartError::from).and_then(|rt| LocalSet::new().block_on(&rt, run()));
     match ran {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -399,3 +399,24 @@
     assert_eq!(host.message(3, SAFE, 1), vec![]);
     assert!(!host.sender.admits(Time(host.now), 0, at));
 }
+
+/// Guards against a key that is free too soon after a restart: what may still run of the process before is waited for.
+#[test]
+fn a_key_rests_over_a_restart() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 0, 0)]);
+    let begun = host.now;
+    let resumed = |id, attempts, ran| {
+        let Event::Message(message) = message(id, ORDERED, 1, Some(9)) else { unreachable!() };
+        Event::Resumed(Resumed { message, attempts, ran, ended: false })
+    };
+    let ran = Some((Time(begun - SECOND), ZoneId(0)));
+    let mut actions = host.step(&[resumed(1, 1, ran), resumed(2, 0, None)]);
+    while sent(&actions, 1).is_none() {
+        assert!(host.now < begun + 2 * SECOND, "its own next attempt need not wait");
+        host.now += 20_000;
+        actions = host.step(&[Event::Woken]);
+    }
+    host.ended(1, 1, Outcome::Success);
+    let (at, _) = sent_at(&host.run(4 * SECOND), 2).expect("it goes on");
+    assert!(at >= begun + 2 * SECOND, "{at}");
+}
