--- a/crates/micadrum-rehearsal/src/judge.rs
+++ b/crates/micadrum-rehearsal/src/judge.rs
@@ -180,6 +180,8 @@
     outages: BTreeMap<u32, Outage>,
     /// Clients whose connection ended without an answer, and whose sender's process may be seen to have ended yet.
     cuts: VecDeque<(At, u32, String)>,
+    /// Calls whose process has ended, and when it did.
+    orphans: VecDeque<(At, u64)>,
     verdict: Verdict,
 }
 
@@ -188,6 +190,7 @@
     pub fn see(&mut self, at: At, seen: &Seen) {
         self.look_at_due(at);
         self.look_at_cuts(at);
+        self.look_at_orphans(at);
         match seen {
             Seen::Ready { sender } => self.ready(at, *sender),
             Seen::Ending { sender, .. } => {
@@ -246,6 +249,7 @@
     pub fn verdict(mut self, at: At) -> Verdict {
         self.look_at_due(At::MAX);
         self.look_at_cuts(At::MAX);
+        self.look_at_orphans(At::MAX);
         let open: Vec<u64> = self.calls.keys().copied().collect();
         for call in open {
             self.closed(at, call, at);
@@ -284,11 +288,12 @@
             self.convict(Rule::Crash, at, None, format!("sender {sender} ended without being told to"));
         }
         self.senders.entry(sender).or_default().exited = Some(at);
-        // Its connections ended with it, whenever the other side hears of that.
+        // Its connections ended with it at the latest. Some may have ended before, with the news still on its way.
         let gone: Vec<u64> =
             self.calls.iter().filter(|(_, call)| call.sender == sender).map(|(call, _)| *call).collect();
         for call in gone {
-            self.closed(at, call, at);
+            self.unanswered(at, call, at);
+            self.orphans.push_back((at, call));
         }
         // What it knew ended with it, and so did the waits that it had been told.
         self.waits.retain(|(of, _), _| *of != sender);
@@ -594,6 +599,22 @@
     }
 
     fn closed(&mut self, at: At, call: u64, sent: At) {
+        self.unanswered(at, call, sent);
+        self.out_no_more(at, call, sent);
+    }
+
+    /// Calls whose process ended, and of whose own end nothing has been heard since, were out until then.
+    fn look_at_orphans(&mut self, now: At) {
+        while let Some((exited, call)) = self.orphans.front().copied()
+            && exited + SEEN_TO_END < now
+        {
+            self.orphans.pop_front();
+            self.out_no_more(exited, call, exited);
+        }
+    }
+
+    /// The messages of a call that has no answer may have run.
+    fn unanswered(&mut self, at: At, call: u64, sent: At) {
         let Some(known) = self.calls.get(&call) else { return };
         let (line, sender, began, ids) = (known.line, known.sender, known.sent, known.ids.clone());
         self.saw_failure(line, sender);
@@ -603,7 +624,6 @@
             message.calls.retain(|other| *other != call);
             message.ran_sent.get_or_insert(began);
         }
-        self.out_no_more(at, call, sent);
     }
 
     /// A call was out until `until`: what was sent beside it before that broke a rule.
@@ -958,6 +978,29 @@
         assert_eq!(day.broken(), [Rule::Order]);
     }
 
+    /// Guards against taking a call for one that was out until its process ended, when the news of its own end, sent
+    /// before, was still on its way; and against one that nothing is heard of passing for ended.
+    #[test]
+    fn a_call_ends_when_its_end_was_sent_though_its_process_ended_since() {
+        for (end_sent, broken) in
+            [(Some(S), vec![]), (Some(3 * S), vec![Rule::Order]), (None, vec![Rule::Order])]
+        {
+            let mut day = Day::default();
+            day.taken("k1", TripRecord, Some(7)).taken("k2", TripRecord, Some(7));
+            let first = day.began(&["k1"]);
+            day.at(S).noticed("k1", true);
+            let second = day.at(2 * S).began(&["k2"]);
+            let exit = 3 * S + 500_000;
+            day.at(exit).see(Seen::Ending { sender: 0, killed: true });
+            day.see(Seen::Exited { sender: 0, asked: true }).at(exit + 50_000);
+            if let Some(sent) = end_sent {
+                day.see(Seen::Closed { call: first, sent });
+            }
+            day.at(6 * S).see(Seen::Ready { sender: 0 }).closed(second).noticed("k2", true);
+            assert_eq!(day.broken(), broken, "{end_sent:?}");
+        }
+    }
+
     /// Guards against calls during a told wait, whatever the message.
     #[test]
     fn a_wait_binds_until_its_end() {
