--- a/src/daemon/budget.rs
+++ b/src/daemon/budget.rs
@@ -4,6 +4,8 @@
 /// Descriptors besides connections to clients and endpoints: standard streams, the runtime's own, the
 /// listener, the journal and its successor, watch and notices with one connection each on the way out.
 const OWN_SOCKETS: usize = 24;
+/// Connections of operators at once.
+pub const OPERATORS: usize = 16;
 /// Share of the descriptors that idle connections to endpoints may hold.
 const IDLE_SHARE: usize = 4;
 /// Memory that one client connection may take: read buffer, head, task.
@@ -38,12 +40,14 @@
 
 impl Budget {
     /// Deals the limits out; `calls` may be out at once.
-    pub fn new(limits: &Limits, calls: usize) -> Self {
+    pub fn new(limits: &Limits, calls: usize, operators: bool) -> Self {
         let memory = (limits.memory_mb * 1e6) as usize;
-        let idle = (limits.sockets / IDLE_SHARE).max(1);
+        // Operators' places come out of what is only kept for later.
+        let operators = if operators { OPERATORS + 1 } else { 0 };
+        let idle = (limits.sockets / IDLE_SHARE).saturating_sub(operators).max(1);
         let unread = calls;
         // Calls come before clients: what was taken on must be able to go out.
-        let left = limits.sockets.saturating_sub(OWN_SOCKETS + idle + calls + unread);
+        let left = limits.sockets.saturating_sub(OWN_SOCKETS + operators + idle + calls + unread);
         Self {
             clients: left.min(memory / CLIENTS_SHARE / CLIENT_MEMORY).max(1),
             bodies: memory / BODIES_SHARE,
@@ -65,8 +69,8 @@
         for sockets in [256, 384, 1024] {
             for calls in [4, 40] {
                 let limits = Limits { memory_mb: 32.0, sockets, disk_mb: 3.0 };
-                let budget = Budget::new(&limits, calls);
-                let all = budget.clients + budget.idle + calls + budget.unread + OWN_SOCKETS;
+                let budget = Budget::new(&limits, calls, true);
+                let all = budget.clients + budget.idle + calls + budget.unread + OWN_SOCKETS + OPERATORS + 1;
                 assert!(all <= sockets && budget.clients * CLIENT_MEMORY + budget.bodies < 16_000_000);
                 assert!(budget.clients * 3 >= sockets.min(768) && budget.idle > calls, "{budget:?}");
             }
--- a/src/daemon/call.rs
+++ b/src/daemon/call.rs
@@ -1,5 +1,5 @@
 //! One call: what is sent, and what came back as an [`Outcome`].
-use super::connection::{ANSWER_PATIENCE, CallError, Connection, MOST_ANSWER, request};
+use super::connection::{ANSWER_PATIENCE, CallError, Connection, MOST_ANSWER, Tally, request};
 use super::input::{Called, Input};
 use super::ports::{Log, Ports};
 use crate::{EndpointId, Outcome, Report, Span};
@@ -15,6 +15,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Semaphore, oneshot};
@@ -59,6 +60,8 @@
     pub ports: Ports,
     /// Where the fields of load reports stand.
     pub fields: ReportFields,
+    /// Messages that were written whole to endpoints.
+    pub written: Arc<AtomicU64>,
     /// Room for connections whose answers are known and not yet read to their end.
     pub unread: Arc<Semaphore>,
     /// The host.
@@ -141,20 +144,25 @@
         if let Some(mut kept) = kept
             && kept.is_alive().await
         {
-            match self.send(&mut kept).await {
+            match self.send(&mut kept, outside).await {
                 // It went stale: with no byte of the request written, a new connection carries the first copy.
                 Err(Outcome::ConnectFailed) if !kept.request_begun() => {}
                 answer => return answer.map(|answer| Some((kept, answer))),
             }
         }
         let Some(mut new) = self.connect(outside).await? else { return Ok(None) };
-        let answer = self.send(&mut new).await?;
+        let answer = self.send(&mut new, outside).await?;
         Ok(Some((new, answer)))
     }
 
-    async fn send(&self, connection: &mut Connection) -> Result<Response<Incoming>, Outcome> {
+    async fn send(
+        &self,
+        connection: &mut Connection,
+        outside: &Outside,
+    ) -> Result<Response<Incoming>, Outcome> {
         let (request, body) = self.request();
-        match timeout_at(self.expires, connection.send(request, body)).await {
+        let tally = Tally { count: outside.written.clone(), adds: self.parcels.len() as u64 };
+        match timeout_at(self.expires, connection.send(request, body, Some(tally))).await {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(CallError::Connect(_) | CallError::Unsent(_) | CallError::Head(_))) => {
                 Err(Outcome::ConnectFailed)
--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -1,8 +1,10 @@
 //! The configuration as the platform hands it out.
 use super::budget::Limits;
+use super::shape::Shape;
 use super::targets::Targets;
 use crate::profile::Profile;
 use serde::Deserialize;
+use serde_json::Value;
 use std::net::SocketAddr;
 
 /// What a sender is told at its start, and again at a reload.
@@ -10,6 +12,9 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if they do.
+    #[serde(default)]
+    pub management: Option<SocketAddr>,
     /// Where the list comes from and notices go.
     pub discovery: SocketAddr,
     /// For random numbers, hexadecimal.
@@ -20,6 +25,9 @@
     pub known: Targets,
     /// The settings of the decision module.
     pub settings: Profile,
+    /// The text that it was read from.
+    #[serde(skip)]
+    text: Vec<u8>,
 }
 
 impl Config {
@@ -28,6 +36,23 @@
     /// # Errors
     /// Where the text is no configuration, and why.
     pub fn parse(text: &[u8]) -> Result<Self, serde_json::Error> {
-        serde_json::from_slice(text)
+        Ok(Self { text: text.to_owned(), ..serde_json::from_slice(text)? })
+    }
+
+    /// The keys that every later configuration has to hold. The list is no setting: it comes as it is.
+    pub(super) fn shape(&self) -> Shape {
+        let mut shape = Shape::of(&self.value());
+        shape.loosen("known");
+        shape
+    }
+
+    /// The first key of an earlier one that this one lacks.
+    pub(super) fn lacks(&self, shape: &Shape) -> Option<String> {
+        shape.missing(&self.value())
+    }
+
+    fn value(&self) -> Value {
+        // It was read before.
+        serde_json::from_slice(&self.text).unwrap_or_default()
     }
 }
--- a/src/daemon/connection.rs
+++ b/src/daemon/connection.rs
@@ -11,6 +11,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -149,6 +150,16 @@
     first_line: FirstLine,
     /// Told once the first line of an answer is there.
     answering: Arc<Notify>,
+    /// Takes note once the request's last byte is written.
+    tally: Option<Tally>,
+}
+
+/// Counts what a request carries once its last byte is written.
+pub struct Tally {
+    /// The count of all.
+    pub count: Arc<AtomicU64>,
+    /// What this one adds.
+    pub adds: u64,
 }
 
 /// A stream that looks at what passes. It takes no vectored writes, which keeps the count simple.
@@ -190,7 +201,14 @@
             self.stream.is_fresh()?;
         }
         let count = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
-        self.exchange().written.count(&buf[..count]);
+        let mut exchange = self.exchange();
+        exchange.written.count(&buf[..count]);
+        if exchange.written.whole()
+            && let Some(tally) = exchange.tally.take()
+        {
+            tally.count.fetch_add(tally.adds, Ordering::Relaxed);
+        }
+        drop(exchange);
         Poll::Ready(Ok(count))
     }
 
@@ -243,11 +261,16 @@
     }
 
     /// Sends one request; the answer is there with its head, which may not lag behind its first line.
-    pub async fn send(&mut self, request: Builder, body: Bytes) -> Result<Response<Incoming>, CallError> {
+    pub async fn send(
+        &mut self,
+        request: Builder,
+        body: Bytes,
+        tally: Option<Tally>,
+    ) -> Result<Response<Incoming>, CallError> {
         let written = Written { body_left: body.len(), ..Written::default() };
         let answering = Arc::new(Notify::new());
         *self.exchange() =
-            Exchange { written, first_line: FirstLine::default(), answering: answering.clone() };
+            Exchange { written, first_line: FirstLine::default(), answering: answering.clone(), tally };
         let overdue = async move {
             answering.notified().await;
             sleep(ANSWER_PATIENCE).await;
@@ -331,7 +354,7 @@
             };
             let mut connection = Connection::open(&Tcp, address, Duration::from_secs(20)).await.unwrap();
             let body = Bytes::from(vec![b'x'; 64 << 20]);
-            let (answer, ()) = tokio::join!(connection.send(post(address), body), peer);
+            let (answer, ()) = tokio::join!(connection.send(post(address), body, None), peer);
             assert!(matches!(answer, Err(CallError::Unsent(_))), "{answer:?}");
         });
     }
@@ -356,9 +379,9 @@
             };
             let calls = async {
                 let mut connection = Connection::open(&Tcp, address, Duration::from_secs(20)).await.unwrap();
-                let first = connection.send(post(address), "whole".into()).await;
+                let first = connection.send(post(address), "whole".into(), None).await;
                 assert!(first.unwrap().into_body().collect().await.is_ok());
-                connection.send(post(address), "whole".into()).await
+                connection.send(post(address), "whole".into(), None).await
             };
             let (second, ()) = tokio::join!(calls, peer);
             assert!(matches!(second, Err(CallError::Reset(_))), "{second:?}");
@@ -388,12 +411,12 @@
                 assert_eq!(stream.read(&mut got).unwrap_or(0), 0, "something was written");
             });
             let mut connection = Connection::open(&Tcp, address, Duration::from_secs(20)).await.unwrap();
-            let first = connection.send(post(address), Bytes::new()).await;
+            let first = connection.send(post(address), Bytes::new(), None).await;
             assert!(first.unwrap().into_body().collect().await.is_ok());
             // Blocking keeps the runtime from looking at its sockets meanwhile.
             again.send(()).unwrap();
             is_written.recv().unwrap();
-            let second = connection.send(post(address), Bytes::new()).await;
+            let second = connection.send(post(address), Bytes::new(), None).await;
             assert!(matches!(second, Err(CallError::Unsent(_))) && !connection.request_begun(), "{second:?}");
             drop(connection);
             tokio::task::spawn_blocking(|| peer.join().unwrap()).await.unwrap();
--- a/src/daemon/discovery.rs
+++ b/src/daemon/discovery.rs
@@ -86,7 +86,7 @@
         Some(revision) => format!("/api/targets?from={revision}&hold_ms={}", HOLD.as_millis()),
         None => "/api/targets".to_owned(),
     };
-    let answer = connection.send(request(Method::GET, &path, agent), Bytes::new()).await?;
+    let answer = connection.send(request(Method::GET, &path, agent), Bytes::new(), None).await?;
     if !answer.status().is_success() {
         return Err(WatchError::Status(answer.status()));
     }
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -2,14 +2,19 @@
 //! of both. It maps the wire's names to the module's numbers.
 use super::budget::Budget;
 use super::call::{Call, Outside, Parcel, ReportFields};
+use super::classes::{Classes, Named};
+use super::config::Config;
 use super::connection::Connection;
-use super::input::{Answer, Called, Doors, Input};
+use super::figures::Figures;
+use super::input::{Answer, Ask, AskError, Called, Doors, Input};
 use super::latest::Latest;
+use super::maintenance::{Maintenance, replace};
 use super::notices::Notice;
 use super::pool::Pool;
-use super::ports::{Ports, WallClock};
+use super::ports::{Ports, Storage, WallClock};
+use super::shape::Shape;
 use super::store::{Attempt, End, Handed, Owed, Store, StoreError};
-use super::targets::{Phase, Targets};
+use super::targets::{Member, Phase, Targets};
 use crate::profile::{Names, Profile, look};
 use crate::{
     Action, ClassId, DestinationId, EndpointId, Entry, Event, Listing, Message, MessageId, OrderKey, Outcome,
@@ -18,7 +23,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
@@ -56,14 +63,27 @@
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
 
+/// One endpoint as the list last told of it.
 struct Endpoint {
-    name: String,
-    address: SocketAddr,
-    zone: String,
+    member: Member,
     batch: usize,
+    /// In service, and not taken out by hand.
     serving: bool,
 }
 
+/// Classes that messages of earlier processes may still be of, in the folder that lasts.
+const CLASSES: &str = "classes.json";
+const NEW_CLASSES: &str = "classes.json.new";
+/// A picture of the figures serves all who ask within this.
+const PICTURE: Duration = Duration::from_millis(100);
+
+fn retired_classes(folder: &dyn Storage) -> Result<Vec<Named>, String> {
+    match folder.read(CLASSES).map_err(|e| e.to_string())? {
+        Some(bytes) => serde_json::from_slice(&bytes).map_err(|e| e.to_string()),
+        None => Ok(Vec::new()),
+    }
+}
+
 /// When the process winds down.
 #[derive(Clone, Copy)]
 struct WindDown {
@@ -77,6 +97,13 @@
     sender: Sender,
     settings: Settings,
     names: Names,
+    classes: Classes,
+    /// The keys that a configuration holds.
+    shape: Shape,
+    maintenance: Maintenance,
+    figures: Figures,
+    picture: Option<(Instant, Rc<Figures>)>,
+    platform: Latest<SocketAddr>,
     store: Store,
     pool: Pool<Connection>,
     clock: Clock,
@@ -109,21 +136,51 @@
     pub notices: UnboundedSender<Notice>,
     /// To the clients' side.
     pub doors: Latest<Doors>,
+    /// Where discovery is, and notices go.
+    pub platform: Latest<SocketAddr>,
+}
+
+/// What a host starts from.
+pub struct Start<'a> {
+    /// The settings.
+    pub profile: &'a Profile,
+    /// The keys of their configuration.
+    pub shape: Shape,
+    /// For random numbers.
+    pub seed: u64,
+    /// The list as this sender last had it.
+    pub known: Targets,
+}
+
+/// The module's settings, with all classes that there have been.
+fn settings(profile: &Profile, names: &Names, classes: &Classes) -> Result<Settings, String> {
+    let own = Settings { ends_noticed: true, calls_expire_whole: true, ..profile.settings(names)? };
+    Ok(Settings { classes: classes.all(), ..own })
 }
 
 impl Host {
     /// A host that takes up what the journal still owes.
     pub fn new(
-        profile: &Profile,
-        seed: u64,
-        known: Targets,
+        start: Start<'_>,
         store: Store,
         links: Links,
         budget: Budget,
         ports: Ports,
     ) -> Result<Self, String> {
+        let Start { profile, shape, seed, known } = start;
         let names = profile.names();
-        let settings = Settings { ends_noticed: true, calls_expire_whole: true, ..profile.settings(&names)? };
+        let retired = retired_classes(&*ports.storage).unwrap_or_else(|e| {
+            ports.log.line(&format!("{CLASSES}: {e}; messages of classes that have gone will fail"));
+            Vec::new()
+        });
+        // Only those are still of use that a message is of.
+        let wanted = |class: &Named| store.owed().any(|(_, owed)| owed.message.class == class.0);
+        let classes = Classes::new(profile.classes()?, retired.into_iter().filter(wanted).collect())?;
+        let settings = settings(profile, &names, &classes)?;
+        let (maintenance, wrong) = Maintenance::open(ports.storage.clone());
+        if let Some(wrong) = wrong {
+            ports.log.line(&wrong);
+        }
         let idle = profile.connection_idle().unwrap_or(Span(5_000_000));
         let clock = Clock::new(&*ports.wall);
         let fields = ReportFields {
@@ -135,6 +192,12 @@
             sender: Sender::new(settings.clone(), seed).map_err(|e| e.to_string())?,
             settings,
             names,
+            classes,
+            shape,
+            maintenance,
+            figures: Figures::default(),
+            picture: None,
+            platform: links.platform,
             store,
             pool: Pool::new(Duration::from_micros(idle.0), budget.idle),
             clock,
@@ -150,9 +213,10 @@
             wake_at: None,
             winding_down: None,
             doors: links.doors,
-            outside: Outside { ports, fields, unread, host: links.inputs },
+            outside: Outside { ports, fields, written: Arc::default(), unread, host: links.inputs },
             notices: links.notices,
         };
+        host.show_classes();
         host.targets(known);
         host.resume();
         host.step();
@@ -221,7 +285,7 @@
             Input::Idle(endpoint, address, connection) => {
                 // Nothing more goes to an endpoint that drains, has gone or has moved.
                 let at = self.endpoints.get(&endpoint);
-                if at.is_some_and(|at| at.serving && at.address == address) {
+                if at.is_some_and(|at| at.serving && at.member.host_port == address) {
                     self.pool.put(endpoint, address, connection, Instant::now());
                 }
             }
@@ -233,9 +297,127 @@
                 }
             }
             Input::WindDown => self.wind_down(),
+            Input::Reload(config) => {
+                let done = config.and_then(|config| self.reload(&config));
+                match done {
+                    Ok(told) => {
+                        self.figures.reconfig_ok += 1;
+                        self.log(&format!("reloaded: {told}"));
+                    }
+                    // A file that cannot be used must not stop a sender at work.
+                    Err(e) => {
+                        self.figures.reconfig_failed += 1;
+                        self.log(&format!("reload: {e}; all stays as it was"));
+                    }
+                }
+            }
+            Input::Operator(Ask::Figures(answer)) => drop(answer.send(self.picture())),
+            Input::Operator(Ask::Maintain { endpoint, out, done }) => {
+                let _ = done.send(self.maintain(&endpoint, out));
+            }
+        }
+    }
+
+    // ---- what operators ask ---------------------------------------------------------------------------
+
+    /// Takes a configuration over whole, or leaves all as it was.
+    fn reload(&mut self, config: &Config) -> Result<String, String> {
+        if let Some(key) = config.lacks(&self.shape) {
+            return Err(format!("{key} is missing"));
+        }
+        let (profile, names) = (&config.settings, config.settings.names());
+        if names.kinds != self.names.kinds || names.zones != self.names.zones {
+            return Err("kinds and zones cannot change while a sender runs".to_owned());
+        }
+        let named = profile.classes()?;
+        let mut classes = self.classes.clone();
+        classes.change(named)?;
+        let settings = settings(profile, &names, &classes)?;
+        settings.check().map_err(|e| e.to_string())?;
+        let retired = classes.retired();
+        // Before a message of a class that has gone can be all that is left of it.
+        if retired != self.classes.retired() {
+            let written = replace(&*self.outside.ports.storage, CLASSES, NEW_CLASSES, &retired);
+            written.map_err(|e| format!("writing {CLASSES}: {e}"))?;
+        }
+        let as_before = if self.platform.set(config.discovery) { "" } else { " as before" };
+        (self.classes, self.names) = (classes, names);
+        self.show_classes();
+        if settings != self.settings {
+            self.settings = settings.clone();
+            self.pending.push((self.now(), Event::Settings(Box::new(settings))));
+        }
+        Ok(format!("discovery at {}{as_before}, {} classes", config.discovery, self.classes.names().count()))
+    }
+
+    fn show_classes(&mut self) {
+        for class in self.classes.names() {
+            self.figures.show(class);
         }
     }
 
+    /// The figures as they are now, or were a moment ago.
+    fn picture(&mut self) -> Rc<Figures> {
+        let at = Instant::now();
+        if let Some((taken, picture)) = &self.picture
+            && at < *taken + PICTURE
+        {
+            return picture.clone();
+        }
+        let now = self.clock.at(at);
+        let listed = self.endpoints.iter().filter(|(_, known)| known.member.phase != Phase::Deleted);
+        let down = |(id, known): &(&EndpointId, &Endpoint)| !known.serving || self.sender.avoids(now, **id);
+        let picture = Rc::new(Figures {
+            backend_calls: self.outside.written.load(Ordering::Relaxed),
+            inflight: self.numbers.len() - self.unnoticed,
+            hosts_listed: listed.clone().count(),
+            hosts_down: listed.filter(down).count(),
+            ..self.figures.clone()
+        });
+        self.picture = Some((at, picture.clone()));
+        picture
+    }
+
+    fn maintain(&mut self, name: &str, out: bool) -> Result<(), AskError> {
+        let listed = self.endpoint_ids.get(name).copied();
+        let listed = listed.filter(|id| self.endpoints[id].member.phase != Phase::Deleted);
+        if listed.is_none() && !self.maintenance.holds(name) {
+            return Err(AskError::Unknown(name.to_owned()));
+        }
+        let changed = if out { self.maintenance.take_out(name) } else { self.maintenance.put_back(name) }?;
+        if let Some(id) = listed.filter(|_| changed) {
+            self.log(&format!("{name} is {}", if out { "taken out by hand" } else { "put back" }));
+            let entries = self.entry(id).into_iter().collect();
+            self.pending.push((self.now(), Event::ListChanges(entries)));
+        }
+        Ok(())
+    }
+
+    /// What the module is told of an endpoint: taken out by hand, it drains whatever the list says.
+    fn entry(&mut self, id: EndpointId) -> Option<Entry> {
+        let known = self.endpoints.get_mut(&id)?;
+        let member = &known.member;
+        let listing = match member.phase {
+            Phase::Serving if self.maintenance.holds(&member.id) => Listing::Draining,
+            Phase::Serving => Listing::Active,
+            Phase::Draining => Listing::Draining,
+            Phase::Deleted => Listing::Removed,
+        };
+        known.serving = listing == Listing::Active;
+        let entry = Entry {
+            endpoint: id,
+            destination: DestinationId(member.cell),
+            kind: *self.names.kinds.get(&member.flavor)?,
+            zone: *self.names.zones.get(&member.locality)?,
+            listing,
+            hint: member.size,
+        };
+        if !known.serving {
+            self.pool.close(id);
+        }
+        Some(entry)
+    }
+
     fn wind_down(&mut self) {
         if self.winding_down.is_none() {
             let now = Instant::now();
@@ -251,7 +433,17 @@
             return Answer::TakenOn;
         }
         let owed = Owed::new(message, self.clock.at(deadline).0);
-        let mut known = match self.message(0, &owed) {
+        let Some(class) = self.classes.of_newcomer(&owed.message.class) else {
+            return Answer::Malformed(format!("unknown class {:?}", owed.message.class));
+        };
+        let tenant = match &owed.message.tenant {
+            Some(name) if !self.names.tenants.is_empty() => look(&self.names.tenants, name, "tenant"),
+            _ => Ok(TenantId(0)),
+        };
+        if let Err(what) = tenant {
+            return Answer::Malformed(what);
+        }
+        let mut known = match self.message(0, class, &owed) {
             Ok(known) => known,
             Err(what) => return Answer::Malformed(what),
         };
@@ -259,8 +451,10 @@
         // Only the platform is still to hear of the others.
         let held = self.numbers.len() - self.unnoticed;
         if !self.sender.admits(now, held, known.destination) {
+            self.figures.refused(&owed.message.class);
             return Answer::Refused;
         }
+        let class = owed.message.class.clone();
         let id = owed.message.id.clone();
         match self.store.take_on(owed) {
             Ok(number) => {
@@ -270,6 +464,7 @@
                 Answer::TakenOn
             }
             Err(e) => {
+                self.figures.refused(&class);
                 self.log(&format!("refused: {e}"));
                 Answer::Refused
             }
@@ -277,16 +472,13 @@
     }
 
     /// A message in the module's terms; the error says what cannot be understood.
-    fn message(&self, number: u32, owed: &Owed) -> Result<Message, String> {
-        let class: ClassId = look(&self.names.classes, &owed.message.class, "class")?;
+    fn message(&self, number: u32, class: ClassId, owed: &Owed) -> Result<Message, String> {
         let of_class = &self.settings.classes[class.0];
         if matches!(of_class.repeat, Repeat::Keyed { .. }) && owed.message.idempotency_key.is_none() {
             return Err(format!("class {:?} needs an idempotency key", owed.message.class));
         }
-        let tenant: Option<TenantId> = match &owed.message.tenant {
-            Some(name) if !self.names.tenants.is_empty() => Some(look(&self.names.tenants, name, "tenant")?),
-            _ => None,
-        };
+        // One of before may be of a tenant that the settings no longer name.
+        let tenant = owed.message.tenant.as_ref().and_then(|name| self.names.tenants.get(name).copied());
         // Two keys of one hash would wait for each other: harmless.
         let key = owed.message.key.as_ref().filter(|_| of_class.ordered).map(|key| {
             let mut hasher = DefaultHasher::new();
@@ -303,7 +495,9 @@
         let owed: Vec<(u32, Owed)> = self.store.owed().map(|(number, owed)| (number, owed.clone())).collect();
         for (number, owed) in owed {
             self.numbers.insert(owed.message.id.clone(), number);
-            let message = match self.message(number, &owed) {
+            let class = self.classes.of_earlier(&owed.message.class);
+            let class = class.ok_or_else(|| format!("unknown class {:?}", owed.message.class));
+            let message = match class.and_then(|class| self.message(number, class, &owed)) {
                 Ok(message) => message,
                 Err(what) => {
                     self.log(&format!("resuming {}: {what}", owed.message.id));
@@ -345,6 +539,9 @@
         for (number, outcome, last) in ends {
             let attempts = self.store.get(number).map_or(1, |owed| owed.attempts);
             if last {
+                if let Some(owed) = self.store.get(number).filter(|_| outcome == Outcome::Success) {
+                    self.figures.delivered(&owed.message.class);
+                }
                 self.over(number);
             } else {
                 let may_have_run = matches!(outcome, Outcome::Failure | Outcome::TimedOut | Outcome::Reset);
@@ -366,44 +563,28 @@
     fn targets(&mut self, targets: Targets) {
         let mut entries = Vec::with_capacity(targets.members.len());
         for member in targets.members {
-            let (Some(kind), Some(zone)) =
-                (self.names.kinds.get(&member.flavor), self.names.zones.get(&member.locality))
-            else {
+            let kind = self.names.kinds.get(&member.flavor);
+            let Some(kind) = kind.filter(|_| self.names.zones.contains_key(&member.locality)) else {
                 self.log(&format!("discovery: {} is of an unknown kind or zone", member.id));
                 continue;
             };
             let batch = self.settings.kinds[kind.0].batch.max(1);
-            let serving = member.phase == Phase::Serving;
             let endpoint = *self.endpoint_ids.entry(member.id.clone()).or_insert_with(|| {
                 let id = EndpointId(self.next_endpoint);
                 self.next_endpoint += 1;
                 id
             });
-            let (name, address) = (member.id, member.host_port);
-            let known = Endpoint { name, address, zone: member.locality, batch, serving };
-            self.endpoints.insert(endpoint, known);
-            if !serving {
-                self.pool.close(endpoint);
-            }
-            entries.push(Entry {
-                endpoint,
-                destination: DestinationId(member.cell),
-                kind: *kind,
-                zone: *zone,
-                listing: match member.phase {
-                    Phase::Serving => Listing::Active,
-                    Phase::Draining => Listing::Draining,
-                    Phase::Deleted => Listing::Removed,
-                },
-                hint: member.size,
-            });
+            self.endpoints.insert(endpoint, Endpoint { member, batch, serving: true });
+            entries.extend(self.entry(endpoint));
         }
         if targets.complete {
             let listed: BTreeSet<EndpointId> = entries.iter().map(|entry| entry.endpoint).collect();
             for (endpoint, known) in &mut self.endpoints {
-                if known.serving && !listed.contains(endpoint) {
-                    known.serving = false;
-                    self.pool.close(*endpoint);
+                if !listed.contains(endpoint) {
+                    known.member.phase = Phase::Deleted;
+                    if std::mem::take(&mut known.serving) {
+                        self.pool.close(*endpoint);
+                    }
                 }
             }
             self.pending.push((self.now(), Event::FullList(entries)));
@@ -462,7 +643,7 @@
                 Action::Forget(endpoint) => {
                     self.pool.close(endpoint);
                     if let Some(gone) = self.endpoints.remove(&endpoint) {
-                        self.endpoint_ids.remove(&gone.name);
+                        self.endpoint_ids.remove(&gone.member.id);
                     }
                 }
                 Action::Log(line) => self.log(&line),
@@ -479,7 +660,7 @@
         let now = self.now();
         // The module forgets no endpoint that it sends to.
         let Some(at) = self.endpoints.get(&endpoint) else { return };
-        let (address, zone) = (at.address, at.zone.clone());
+        let (address, zone) = (at.member.host_port, at.member.locality.clone());
         let mut parcels = Vec::with_capacity(messages.len());
         let mut unsent = Vec::new();
         for MessageId(number) in messages {
@@ -524,6 +705,7 @@
     fn end(&mut self, number: u32, end: End) {
         let Some(owed) = self.store.get(number) else { return };
         let id = owed.message.id.clone();
+        self.figures.ended(&owed.message.class, end);
         let booked = self.store.end(number, end);
         self.booked(booked);
         self.unnoticed += 1;
--- a/src/daemon/input.rs
+++ b/src/daemon/input.rs
@@ -1,9 +1,13 @@
 //! What passes between the daemon's parts: below all of them, so that none needs to know another.
+use super::config::Config;
 use super::connection::Connection;
+use super::figures::Figures;
+use super::maintenance::MaintenanceError;
 use super::store::Handed;
 use super::targets::Targets;
 use crate::{EndpointId, Outcome, Report, Span};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -47,6 +51,36 @@
     Noticed(Vec<u32>),
     /// The process is to end.
     WindDown,
+    /// The configuration as it now reads, or why it cannot be read.
+    Reload(Result<Box<Config>, String>),
+    /// What an operator asks.
+    Operator(Ask),
+}
+
+/// What operators ask of a sender.
+pub enum Ask {
+    /// For its figures.
+    Figures(oneshot::Sender<Rc<Figures>>),
+    /// To take an endpoint out by hand, or to put it back.
+    Maintain {
+        /// Its id in the list.
+        endpoint: String,
+        /// Out, or back.
+        out: bool,
+        /// Takes what came of it.
+        done: oneshot::Sender<Result<(), AskError>>,
+    },
+}
+
+/// Why an operator hears no.
+#[derive(Debug, thiserror::Error)]
+pub enum AskError {
+    /// The list names no such endpoint.
+    #[error("no endpoint {0:?} in the list")]
+    Unknown(String),
+    /// It could not be done.
+    #[error(transparent)]
+    Maintenance(#[from] MaintenanceError),
 }
 
 /// How a call ended.
--- /dev/null
+++ b/src/daemon/management.rs
@@ -0,0 +1,134 @@
+//! The door for operators: one call to a connection, beside the clients' and bounded for itself.
+use super::budget::OPERATORS;
+use super::input::{Ask, AskError, Doors, Input};
+use super::latest::Latest;
+use super::ports::{Listener, Log, Stream};
+use super::server::{House, Lingering, Seat, collect, plain};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// A call that has not come whole by then does not come.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Bytes of ids that may be read at once, over all callers.
+const BODIES: usize = 64 * 1024;
+/// No id is longer.
+const MOST_ID: usize = 1024;
+
+/// Serves operators for as long as the process runs. With all places taken, the caller who came first goes.
+pub async fn serve(
+    listener: Box<dyn Listener>,
+    host: UnboundedSender<Input>,
+    doors: Latest<Doors>,
+    log: Rc<dyn Log>,
+) {
+    let house = House::new(OPERATORS, BODIES);
+    loop {
+        match listener.accept().await {
+            Ok(stream) => {
+                let Some(seat) = house.seat().await else { return };
+                spawn_local(connection(stream, house.clone(), seat, host.clone(), doors.clone()));
+            }
+            Err(e) => {
+                log.line(&format!("operators: accepting: {e}"));
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn connection(
+    stream: Box<dyn Stream>,
+    house: Arc<House>,
+    seat: Arc<Seat>,
+    host: UnboundedSender<Input>,
+    doors: Latest<Doors>,
+) {
+    let service = service_fn(|request| {
+        let (house, host, doors) = (house.clone(), host.clone(), doors.get());
+        async move { Ok::<_, Infallible>(respond(request, &house, &host, doors).await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(PATIENCE)
+        .keep_alive(false)
+        .half_close(true)
+        .serve_connection(TokioIo::new(Lingering::new(stream)), service);
+    tokio::select! {
+        biased;
+        // A caller that breaks off hears nothing more: there is nobody to tell of the error.
+        _ = connection => {}
+        () = seat.leave.notified() => {}
+    }
+}
+
+async fn respond(
+    request: Request<Incoming>,
+    house: &House,
+    host: &UnboundedSender<Input>,
+    doors: Doors,
+) -> Response<Full<Bytes>> {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/status") if doors == Doors::Open => plain(StatusCode::OK, "ready\n"),
+        (&Method::GET, "/status") => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        (&Method::GET, "/status/metrics") => figures(host).await,
+        (&Method::POST, "/maintenance/enter") => maintain(request, house, host, true).await,
+        (&Method::POST, "/maintenance/exit") => maintain(request, house, host, false).await,
+        (_, "/status" | "/status/metrics" | "/maintenance/enter" | "/maintenance/exit") => {
+            plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n")
+        }
+        _ => plain(StatusCode::NOT_FOUND, "not found\n"),
+    }
+}
+
+fn gone() -> Response<Full<Bytes>> {
+    plain(StatusCode::SERVICE_UNAVAILABLE, "the sender is ending\n")
+}
+
+async fn figures(host: &UnboundedSender<Input>) -> Response<Full<Bytes>> {
+    let (answer, answered) = oneshot::channel();
+    let _ = host.send(Input::Operator(Ask::Figures(answer)));
+    let Ok(figures) = answered.await else { return gone() };
+    // Names and numbers always have a JSON form.
+    let mut response = plain(StatusCode::OK, serde_json::to_vec(&*figures).unwrap_or_default());
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+async fn maintain(
+    request: Request<Incoming>,
+    house: &House,
+    host: &UnboundedSender<Input>,
+    out: bool,
+) -> Response<Full<Bytes>> {
+    let body = match timeout(PATIENCE, collect(request.into_body(), house)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(answer)) => return answer,
+        Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
+    };
+    let id = std::str::from_utf8(&body).map(str::trim).unwrap_or_default();
+    if id.is_empty() || id.len() > MOST_ID {
+        return plain(StatusCode::BAD_REQUEST, "the body is to be the id of an endpoint\n");
+    }
+    let (done, answered) = oneshot::channel();
+    let ask = Ask::Maintain { endpoint: id.to_owned(), out, done };
+    let _ = host.send(Input::Operator(ask));
+    match answered.await {
+        Ok(Ok(())) => plain(StatusCode::OK, if out { "out\n" } else { "back\n" }),
+        Ok(Err(e @ AskError::Unknown(_))) => plain(StatusCode::NOT_FOUND, format!("{e}\n")),
+        Ok(Err(e)) => plain(StatusCode::INSUFFICIENT_STORAGE, format!("{e}\n")),
+        Err(_) => gone(),
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,24 +4,29 @@
 //! needs of the machine comes through [`ports`].
 mod budget;
 mod call;
+mod classes;
 pub mod config;
 mod connection;
 mod discovery;
+mod figures;
 mod host;
 mod input;
 mod latest;
+mod maintenance;
+mod management;
 mod notices;
 mod over;
 mod pool;
 pub mod ports;
 mod server;
+mod shape;
 mod store;
 pub mod system;
 pub mod targets;
 
 use budget::Budget;
 use config::Config;
-use host::{Host, Links};
+use host::{Host, Links, Start};
 use input::{Doors, Input};
 use latest::Latest;
 use ports::Ports;
@@ -80,8 +85,9 @@
     ports: Ports,
     mut signals: UnboundedReceiver<Signal>,
 ) -> Result<(), StartError> {
-    let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed))?;
-    let budget = Budget::new(&config.limits, config.settings.most_calls());
+    let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed.clone()))?;
+    let budget = Budget::new(&config.limits, config.settings.most_calls(), config.management.is_some());
+    let shape = config.shape();
     let (store, damage) = Store::open(ports.storage.clone(), budget.disk)?;
     if damage != Damage::default() {
         let Damage { torn, skipped } = damage;
@@ -91,30 +97,32 @@
     let (notices, queue) = unbounded_channel();
     let doors = Latest::new(Doors::Open);
     let platform = Latest::new(config.discovery);
-    let links = Links { inputs: inputs.clone(), notices, doors: doors.clone() };
-    let host = Host::new(&config.settings, seed, config.known, store, links, budget, ports.clone())
-        .map_err(StartError::Settings)?;
+    let links = Links { inputs: inputs.clone(), notices, doors: doors.clone(), platform: platform.clone() };
+    let start = Start { profile: &config.settings, shape, seed, known: config.known };
+    let host = Host::new(start, store, links, budget, ports.clone()).map_err(StartError::Settings)?;
     // Only now: a sender that can be reached has taken up what it owes.
     let address = config.listen;
     let listener = ports.network.listen(address).await;
     let listener = listener.map_err(|source| StartError::Listen { address, source })?;
     let listens = listener.local_addr().map_err(|source| StartError::Listen { address, source })?;
     ports.log.line(&format!("listening on {listens}"));
+    if let Some(address) = config.management {
+        let listener = ports.network.listen(address).await;
+        let listener = listener.map_err(|source| StartError::Listen { address, source })?;
+        let listens = listener.local_addr().map_err(|source| StartError::Listen { address, source })?;
+        ports.log.line(&format!("operators: listening on {listens}"));
+        spawn_local(management::serve(listener, inputs.clone(), doors.clone(), ports.log.clone()));
+    }
     spawn_local(discovery::watch(platform.clone(), inputs.clone(), ports.clone()));
     spawn_local(notices::run(platform.clone(), queue, inputs.clone(), ports.clone()));
-    let (on_signal, log) = (inputs.clone(), ports.log.clone());
+    let on_signal = inputs.clone();
     spawn_local(async move {
         while let Some(signal) = signals.recv().await {
-            match signal {
-                Signal::WindDown => drop(on_signal.send(Input::WindDown)),
-                Signal::Reload(Ok(config)) => {
-                    let moved = platform.set(config.discovery);
-                    let as_before = if moved { "" } else { " as before" };
-                    log.line(&format!("reloaded: discovery at {}{as_before}", config.discovery));
-                }
-                // A file that cannot be used must not stop a sender at work.
-                Signal::Reload(Err(e)) => log.line(&format!("reload: {e}; all stays as it was")),
-            }
+            let input = match signal {
+                Signal::WindDown => Input::WindDown,
+                Signal::Reload(config) => Input::Reload(config),
+            };
+            let _ = on_signal.send(input);
         }
     });
     let server = spawn_local(server::serve(listener, inputs, doors.clone(), budget, ports.log.clone()));
--- a/src/daemon/notices.rs
+++ b/src/daemon/notices.rs
@@ -116,7 +116,8 @@
         Some(connection) => connection,
         None => Connection::open(network, platform, PATIENCE).await?,
     };
-    let answer = connection.send(request(Method::POST, "/v1/notices", platform), lines(notices)).await?;
+    let answer =
+        connection.send(request(Method::POST, "/v1/notices", platform), lines(notices), None).await?;
     if answer.status() != StatusCode::NO_CONTENT {
         return Err(NoticeError::Status(answer.status()));
     }
--- a/src/daemon/server.rs
+++ b/src/daemon/server.rs
@@ -42,11 +42,12 @@
 
 /// Room for connections, and those on which nothing waits for an answer: with the house full, the one that
 /// has rested longest makes room for a newcomer.
-struct House {
+pub struct House {
     room: Arc<Semaphore>,
     /// Bytes of bodies that may be read at once.
     bodies: Arc<Semaphore>,
     resting: Mutex<Resting>,
+    places: usize,
 }
 
 #[derive(Default)]
@@ -56,6 +57,27 @@
 }
 
 impl House {
+    /// One with so many places, in which so many bytes of bodies may be read at once.
+    pub fn new(places: usize, bodies: usize) -> Arc<Self> {
+        let (room, bodies) = (Arc::new(Semaphore::new(places)), Arc::new(Semaphore::new(bodies)));
+        Arc::new(Self { room, bodies, resting: Mutex::default(), places })
+    }
+
+    /// A place for a newcomer; with the house full, who has rested longest leaves.
+    pub async fn seat(self: &Arc<Self>) -> Option<Arc<Seat>> {
+        if self.room.available_permits() == 0 {
+            self.make_room();
+        }
+        // All seats taken and none at rest: answers are due within milliseconds.
+        let permit = self.room.clone().acquire_owned().await.ok()?;
+        Some(Arc::new(Seat::new(self.clone(), permit)))
+    }
+
+    /// With all permits back, every connection has ended.
+    async fn empty(&self) {
+        let _ = self.room.acquire_many(self.places as u32).await;
+    }
+
     fn resting(&self) -> MutexGuard<'_, Resting> {
         self.resting.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -69,10 +91,10 @@
 }
 
 /// The place of one connection in the house.
-struct Seat {
+pub struct Seat {
     house: Arc<House>,
     /// Tells the connection that its place is wanted.
-    leave: Arc<Notify>,
+    pub leave: Arc<Notify>,
     /// Its place among those that rest, while it does.
     place: Mutex<Option<u64>>,
     _permit: OwnedSemaphorePermit,
@@ -112,11 +134,18 @@
 
 /// A client's stream. Closing it ends the sending side first and reads on for a while: closed at once with
 /// bytes unread, the system would reset the connection and might take the last answer with it.
-struct Lingering {
+pub struct Lingering {
     stream: Box<dyn Stream>,
     until: Option<Pin<Box<Sleep>>>,
 }
 
+impl Lingering {
+    /// That of a client that has just connected.
+    pub fn new(stream: Box<dyn Stream>) -> Self {
+        Self { stream, until: None }
+    }
+}
+
 impl AsyncRead for Lingering {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -162,11 +191,7 @@
     budget: Budget,
     log: Rc<dyn Log>,
 ) {
-    let house = Arc::new(House {
-        room: Arc::new(Semaphore::new(budget.clients)),
-        bodies: Arc::new(Semaphore::new(budget.bodies)),
-        resting: Mutex::default(),
-    });
+    let house = House::new(budget.clients, budget.bodies);
     loop {
         let accepted = tokio::select! {
             biased;
@@ -175,12 +200,7 @@
         };
         match accepted {
             Ok(stream) => {
-                if house.room.available_permits() == 0 {
-                    house.make_room();
-                }
-                // All seats taken and none at rest: answers are due within milliseconds.
-                let Ok(permit) = house.room.clone().acquire_owned().await else { break };
-                let seat = Arc::new(Seat::new(house.clone(), permit));
+                let Some(seat) = house.seat().await else { break };
                 spawn_local(connection(stream, seat, host.clone(), doors.clone()));
             }
             Err(e) => {
@@ -192,8 +212,7 @@
         }
     }
     drop(listener);
-    // With all permits back, every connection has ended.
-    let _ = house.room.acquire_many(budget.clients as u32).await;
+    house.empty().await;
 }
 
 async fn connection(
@@ -214,7 +233,7 @@
         .max_buf_size(MOST_HEAD)
         // A client may end its sending with its request; it still waits for the answer.
         .half_close(true)
-        .serve_connection(TokioIo::new(Lingering { stream, until: None }), service);
+        .serve_connection(TokioIo::new(Lingering::new(stream)), service);
     tokio::pin!(connection);
     // A client that breaks its connection off hears nothing more: there is nobody to tell of the error.
     tokio::select! {
@@ -246,7 +265,8 @@
     response
 }
 
-fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+/// An answer of plain text.
+pub fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(text.into()));
     *response.status_mut() = status;
     response
@@ -254,7 +274,7 @@
 
 /// Reads a body whole; what is read counts towards what all clients together may fill. It is copied out of
 /// the connection's buffers, which a message would keep for as long as it is held.
-async fn collect(mut body: Incoming, room: &Semaphore) -> Result<Bytes, Response<Full<Bytes>>> {
+pub async fn collect(mut body: Incoming, house: &House) -> Result<Bytes, Response<Full<Bytes>>> {
     let too_large = || plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n");
     if body.size_hint().lower() > MOST_BODY as u64 {
         return Err(too_large());
@@ -268,7 +288,7 @@
             return Err(too_large());
         }
         let busy = |_| plain(StatusCode::SERVICE_UNAVAILABLE, "too many bodies at once\n");
-        filled.push(room.try_acquire_many(data.len() as u32).map_err(busy)?);
+        filled.push(house.bodies.try_acquire_many(data.len() as u32).map_err(busy)?);
         whole.extend_from_slice(&data);
     }
     Ok(whole.into())
@@ -286,7 +306,7 @@
     if head.headers.contains_key(TRANSFER_ENCODING) {
         return plain(StatusCode::LENGTH_REQUIRED, "a Content-Length is needed, and no coding\n");
     }
-    let body = match timeout(BODY_PATIENCE, collect(body, &seat.house.bodies)).await {
+    let body = match timeout(BODY_PATIENCE, collect(body, &seat.house)).await {
         Ok(Ok(body)) => body,
         Ok(Err(answer)) => return answer,
         Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
--- a/src/daemon/targets.rs
+++ b/src/daemon/targets.rs
@@ -1,5 +1,5 @@
 //! The list of endpoints in discovery's form.
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// A version of the list, or the changes that led to it.
@@ -14,7 +14,7 @@
 }
 
 /// One endpoint of the list.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Member {
     /// The same at every sender.
     pub id: String,
@@ -34,7 +34,7 @@
 }
 
 /// What the list says of an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum Phase {
     /// In service.
--- a/src/decision/line.rs
+++ b/src/decision/line.rs
@@ -1,6 +1,7 @@
 //! Lines: what is learned of one route, or of one destination whose endpoints share a limit.
 
 use super::*;
+use crate::index::worth::mean_rate;
 use std::cell::Cell;
 use std::collections::BTreeMap;
 
@@ -29,7 +30,7 @@
 
 /// State of a line. Only sends that `rule_return` lets through reach one that is not `Up`.
 #[derive(Clone, Copy, PartialEq, Default)]
-pub(super) enum Health {
+pub(crate) enum Health {
     #[default]
     Up,
     /// In an outage: one call at a time, not before this.
@@ -38,12 +39,11 @@
     Returning(Time),
 }
 
-/// What time alone changes of a line, as it was at a moment. Later states are worked out when asked for, the
-/// same however often that is: a line that nobody looks at costs nothing.
+/// What time alone changes of a line, as it was at a moment; later states are worked out when asked for.
 #[derive(Clone, Copy, Default)]
-pub(super) struct Flow {
+pub(crate) struct Flow {
     pub(super) at: Time,
-    pub(super) health: Health,
+    pub(crate) health: Health,
     pub(super) failing: f64,
     pub(super) rate: f64,
     pub(super) pace: f64,
@@ -103,11 +103,7 @@
     /// What that adds up to between two moments of the ramp.
     fn earned(&self, from: Time, to: Time, began: Time, limit: f64, s: &Settings) -> f64 {
         let [a, b] = [from, to].map(|at| self.ramp_rate(at, began, limit, s));
-        let (x, y, least) = (self.bounded(a, s), self.bounded(b, s), trial_rate(s));
-        let (below, above) =
-            (least * (b.min(least) - a.min(least)), if b > y { y * (b - a.max(y)) } else { 0.0 });
-        let mean = if b > a { (below + (y * y - x * x) / 2.0 + above) / (b - a) } else { x };
-        mean * seconds(since(to, from))
+        mean_rate(a, b, trial_rate(s), self.pace) * seconds(since(to, from))
     }
 
     /// No earlier than this a token is there, by time alone; the state is that of `now`.
@@ -132,10 +128,10 @@
 }
 
 #[derive(Clone, Default)]
-pub(super) struct Line {
+pub(crate) struct Line {
     pub(super) destination: DestinationId,
     pub(super) endpoint: Option<EndpointId>,
-    pub(super) told_until: Time,
+    pub(crate) told_until: Time,
     pub(super) hold_until: Time,
     pub(super) flow: Flow,
     /// As it was last worked out.
@@ -153,8 +149,8 @@
     limit: f64,
 }
 
-/// Calls a second that are safe towards anything: one a `fall` from all senders together. Among many only
-/// those with a message waiting call: each may send the cold share of one message a ramp.
+/// Calls a second that are safe towards anything: one a `fall` from all senders together, or the cold share
+/// of one message a ramp, as among many only those with a message waiting call.
 fn trial_rate(s: &Settings) -> f64 {
     let equal = 1.0 / (s.senders as f64 * seconds(s.rules.fall.0).max(0.1));
     let cold = s.rules.cold_share * s.rules.overload_factor * RETURN_SHARE;
@@ -179,7 +175,7 @@
     }
 
     /// What time changes of it, at `now`.
-    pub(super) fn flow(&self, now: Time, s: &Settings) -> Flow {
+    pub(crate) fn flow(&self, now: Time, s: &Settings) -> Flow {
         if self.flow.at == now {
             return self.flow;
         }
@@ -219,11 +215,6 @@
         (self.limit / s.senders as f64 / 2.0).max(trial_rate(s))
     }
 
-    pub(super) fn name(&self) -> String {
-        let endpoint = self.endpoint.map_or(String::new(), |e| format!(" endpoint #{}", e.0));
-        format!("destination {}{endpoint}", self.destination.0)
-    }
-
     /// Learns from how a call on it ended; whether that closed it.
     pub(super) fn learn(&mut self, now: Time, s: &Settings, seen: &Seen) -> bool {
         let &Seen { sent, outcome, report, gate, losses, jitter } = seen;
@@ -270,8 +261,8 @@
                     flow.pace = (flow.rate.min(flow.pace) * SLOW_DOWN).max(least);
                     flow.tokens = if wait.is_some() { flow.tokens.clamp(0.0, 1.0) } else { 0.0 };
                 }
-                // Refused and nothing else: shut, not busy. So is a wait longer than any limit's. Who is told
-                // when it opens starts on the ramp then, at a token by chance, as all who were told do.
+                // Refused and nothing else, or for longer than any limit's wait: shut, not busy. Who is told
+                // when it opens starts on the ramp then, by chance apart.
                 let shut = wait.is_some_and(|w| w.0 as f64 > SHUT_WAIT * fall) || self.fulls > OUTAGE_STREAK;
                 if shut && wait.is_some() {
                     (flow.health, flow.tokens) = (Health::Returning(wait_end), jitter);
@@ -285,7 +276,7 @@
                     self.doubted = Some(now);
                 }
                 // Answers get lost by the dozen, errors seldom: where little is known one tells as much as
-                // all that is. A connection that times out tells more: full tables say no at once.
+                // all that is, and a connection that times out more: full tables say no at once.
                 let gone = outcome == Outcome::ConnectFailed && elapsed > s.connect_timeout.0 as f64 / 2.0;
                 let known = 1.0 / (if gone { 1.0 } else { 2.0 } + flow.rate * RATE_S);
                 let told = matches!(outcome, Outcome::Failure | Outcome::ConnectFailed);
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! A step looks at what happened, at what is due and at who may be sent to, never at all that is held.
 
-mod line;
+pub(crate) mod line;
 mod rules;
 #[cfg(test)]
 mod slow;
@@ -17,7 +17,7 @@
 use crate::index::held::{Held, Ran, Stage, Try};
 use crate::index::keys::{Keys, Left};
 use crate::index::waiting::{Slip, Stand, Timer, Waiting};
-use crate::index::worth::{bends, worth};
+use crate::index::worth::{bends, learn, worth};
 use crate::interface::*;
 use line::{Flow, Health, Line, Seen};
 use rand_chacha::ChaCha8Rng;
@@ -30,22 +30,21 @@
 const CROWDED_SHARE: f64 = 0.01;
 /// Weight of one more call in a share that is learned over many lines.
 const POOLED_LEARN: f64 = 0.05;
-/// Steps between wake-ups at the least; messages that something holds are looked at half as often.
+/// Steps between wake-ups at the least; held-up messages are looked at half as often.
 const HEARTBEAT: u64 = 4;
-/// Of each kind of work (moments that have come, ends, turns) one step does at most so much; the rest is the
-/// next one's, so that no step holds up the host.
+/// Of each kind of work (moments, ends, turns) a step does at most so much, so that none holds up the host.
 const MOST_IN_STEP: usize = 1024;
 
 /// A sender's decisions: see the crate's page for an example.
 #[cfg_attr(test, derive(Clone))]
 pub struct Sender {
-    settings: Settings,
+    pub(crate) settings: Settings,
     random: ChaCha8Rng,
     now: Time,
     // Boxed, as a table that grows moves all of its entries in one step.
     held: FxHashMap<MessageId, Box<Held>>,
     taken: u64,
-    directory: Directory<Line>,
+    pub(crate) directory: Directory<Line>,
     calls: Calls,
     keys: Keys,
     waiting: Waiting,
@@ -69,10 +68,6 @@
     log: Vec<String>,
 }
 
-fn pool(share: &mut f64, seen: bool) {
-    *share += POOLED_LEARN * (f64::from(u8::from(seen)) - *share);
-}
-
 impl Sender {
     /// A sender with no messages and no list; an error names a setting that cannot be acted on.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
@@ -178,12 +173,12 @@
                 }
             }
             Event::WindDown(end) => self.ends_at = Some(*end),
+            Event::Settings(settings) => self.settle(settings, actions),
             Event::Ended { .. } => self.ended(event, actions),
             Event::Withdrawn(id) => self.withdrawn(*id),
             Event::FullList(entries) => self.list(entries, true),
             Event::ListChanges(entries) => self.list(entries, false),
             Event::ListFailed => {
-                // The list's keeper is short of room itself: ask again ever more slowly, by chance apart.
                 self.list_failures = (self.list_failures + 1).min(4);
                 let most = self.settings.rules.must_ask_in.0 as f64 / 2.0;
                 let wait = self.settings.connect_timeout.0 as f64 * f64::from(1 << self.list_failures) / 4.0;
@@ -219,8 +214,7 @@
             self.leave(message.id);
             return;
         }
-        // What was out ended with the process like any other failed attempt. All senders that restart with an
-        // outage come back together: by chance apart.
+        // What was out failed with its process. All senders that restart come back together: by chance apart.
         let (jitter, class) = (self.chance(), &self.settings.classes[message.class.0]);
         let wait = if attempts > 0 { rules::backoff(class, attempts, jitter) } else { 0.0 };
         let at = after(self.now, wait);
@@ -246,8 +240,8 @@
         line.told_until = line.told_until.max(Time(self.now.0 + wait.0));
     }
 
-    /// Whether a message for `destination` may be taken on: there is room for one more beside the `held` ones
-    /// and time to deliver it, and the list names the destination, or did until a short while ago.
+    /// Whether a message for `destination` may be taken on: there is room beside the `held` ones and time to
+    /// deliver it, and the list names the destination, or did until a short while ago.
     pub fn admits(&self, now: Time, held: usize, destination: DestinationId) -> bool {
         let time = self.ends_at.is_none_or(|end| now.0 + self.settings.connect_timeout.0 < end.0);
         held < self.settings.most_held && time && self.directory.destination(destination).is_some()
@@ -263,36 +257,53 @@
             Line::new(entry.destination, own, if hinted { entry.hint } else { 0.0 })
         };
         let known: Vec<Entry> = entries.iter().filter(|e| e.kind.0 < s.kinds.len()).copied().collect();
-        for (id, destination, gone) in self.directory.enter(&known, whole, self.now, shares, line) {
+        for (id, destination, gone, before) in self.directory.enter(&known, whole, self.now, shares, line) {
             if let Some(gone) = gone {
-                let forget = Time(gone.0 + s.rules.ramp.0);
+                let forget = Time(gone.0 + self.settings.rules.ramp.0);
                 self.waiting.timers.set(forget, Timer::Gone(id, destination));
             }
+            self.relisted(id, before);
             self.waiting.wake(destination);
         }
     }
 
-    /// Endpoints come and go under ever new ids: what was learned of one that has gone is dropped once no
-    /// call to it is out, no wait that it told runs on, and it has not come back for a ramp. A destination
-    /// goes with its last endpoint. Who cannot go yet is looked at again when its wait or its call is over.
+    /// Who drained and is in service again was restarted: it comes back cold, to the traffic it had.
+    fn relisted(&mut self, id: EndpointId, before: Listing) {
+        let Some(at) = self.directory.endpoint(id) else { return };
+        let health = match (before, at.listing) {
+            (Listing::Active, Listing::Draining) => Health::Down(self.now),
+            (Listing::Draining, Listing::Active) => Health::Returning(self.now),
+            _ => return,
+        };
+        let (now, line) = (self.now, self.directory.line_mut(at.line));
+        line.flow = Flow { health, tokens: 1.0, ..line.flow(now, &self.settings) };
+    }
+
+    /// Other settings hold from now on. A message that has had all the attempts now allowed ends.
+    fn settle(&mut self, settings: &Settings, actions: &mut Vec<Action>) {
+        self.waiting.classes(settings.classes.iter().map(|class| bends(class, settings.decay)).collect());
+        self.settings = settings.clone();
+        let spent =
+            |held: &Held| matches!(held.stage, Stage::Waiting(_)) && held.attempts >= settings.max_attempts;
+        let mut spent: Vec<_> = self.held.iter().filter(|(_, held)| spent(held)).map(|(id, _)| *id).collect();
+        spent.sort_unstable();
+        spent.into_iter().for_each(|id| self.end(id, actions));
+    }
+
+    /// What was learned of an endpoint that has gone is dropped once no call to it is out, no wait that it
+    /// told runs on, and it has not come back for a ramp; a destination goes with its last endpoint.
     fn forget_gone(&mut self, actions: &mut Vec<Action>) {
-        let (now, mut leaving) = (self.now, std::mem::take(&mut self.leaving));
-        leaving.sort_unstable();
-        leaving.dedup();
-        for (id, of) in leaving.drain(..) {
-            let until = |line: &Line| if line.out.is_empty() { line.told_until } else { Time(u64::MAX) };
-            let wanted = |line: &Line| Some(until(line)).filter(|until| now < *until);
-            let long_gone = Time(now.0.saturating_sub(self.settings.rules.ramp.0));
-            let (forgotten, again) = self.directory.retire(id, of, long_gone, wanted);
-            if forgotten {
-                actions.push(Action::Forget(id));
-            }
+        let (now, leaving) = (self.now, std::mem::take(&mut self.leaving));
+        let until = |line: &Line| if line.out.is_empty() { line.told_until } else { Time(u64::MAX) };
+        let wanted = |line: &Line| Some(until(line)).filter(|until| now < *until);
+        let long_gone = Time(now.0.saturating_sub(self.settings.rules.ramp.0));
+        for (id, of, forgotten, again) in self.directory.retire_all(leaving, long_gone, wanted) {
+            actions.extend(forgotten.then_some(Action::Forget(id)));
             if let Some(again) = again.filter(|at| *at < Time(u64::MAX)) {
                 self.waiting.timers.set(again, Timer::Gone(id, of));
             }
             self.waiting.wake(of);
         }
-        self.leaving = leaving;
     }
 
     fn ended(&mut self, event: &Event, actions: &mut Vec<Action>) {
@@ -426,10 +437,10 @@
         line.flow(self.now, &self.settings)
     }
 
-    /// Idle connections can be dead without a word: each call on one is lost, though the endpoint is well.
-    /// After silence they are closed; and those idle for as long as the lost call's was are used nowhere, a
-    /// span that grows again. They also fill small tables: while a kind's calls get no connection, who
-    /// calls rarely keeps none. Both cost handshakes where a partner is merely slow or down.
+    /// Idle connections can be dead without a word. After silence they are closed, and those idle for as long
+    /// as the lost call's was are used nowhere, a span that grows again. They also fill small tables: while a
+    /// kind's calls get no connection, who calls rarely keeps none. Both cost handshakes where a partner is
+    /// merely slow or down.
     fn distrust(&mut self, tried: Try, outcome: Outcome, actions: &mut Vec<Action>) {
         let Some(at) = self.directory.endpoint(tried.endpoint) else { return };
         let line = self.directory.line(at.line);
@@ -437,7 +448,7 @@
         let share = &mut self.crowded[at.kind.0];
         let silent = matches!(outcome, Outcome::TimedOut | Outcome::Reset);
         if !silent {
-            pool(share, outcome == Outcome::ConnectFailed);
+            learn(share, outcome == Outcome::ConnectFailed, POOLED_LEARN);
         }
         if silent || (*share > CROWDED_SHARE && rare && line.out.len() <= 1) {
             actions.push(Action::CloseIdle(tried.endpoint));
@@ -471,10 +482,16 @@
             if first {
                 let seen = Seen { sent, outcome, report, gate, losses: self.lost > LOST_SHARE, jitter };
                 if line.learn(self.now, &self.settings, &seen) {
-                    self.log.push(format!("{} closed: {:?}", line.name(), outcome));
+                    let Line { destination, endpoint, .. } = line;
+                    let endpoint = endpoint.map_or(String::new(), |e| format!(" endpoint #{}", e.0));
+                    self.log.push(format!("destination {}{endpoint} closed: {outcome:?}", destination.0));
                 }
                 if line.endpoint.is_some() {
-                    pool(&mut self.lost, matches!(outcome, Outcome::TimedOut | Outcome::Reset));
+                    learn(
+                        &mut self.lost,
+                        matches!(outcome, Outcome::TimedOut | Outcome::Reset),
+                        POOLED_LEARN,
+                    );
                 }
             }
             // Each message of a batch may be told its own wait: the longest holds.
@@ -488,8 +505,7 @@
         self.waiting.wake(destination);
     }
 
-    /// Endpoints that share a limit can fail one by one; with the last of them the whole destination is out,
-    /// and its return is paced as one.
+    /// With the last endpoint that shares a limit the destination is out, and its return is paced as one.
     fn close_shared(&mut self, destination: DestinationId) {
         let Some(shared) = self.directory.destination(destination).and_then(|d| d.shared) else { return };
         let health = |at: &Endpoint| self.flow(self.directory.line(at.line)).health;
--- a/src/decision/rules.rs
+++ b/src/decision/rules.rs
@@ -46,8 +46,7 @@
                 .all(|line| self.rule_wait(line) && (joins || (self.rule_return(line) && self.paced(line))))
     }
 
-    /// Whether a call that connecting has held up may still go out: meanwhile a wait may have been told, the
-    /// endpoint may drain, or the window of a repeat may be over.
+    /// Whether a call that connecting has held up may still go out: a wait, a drain, a window's end may come.
     pub fn may_begin(&self, now: Time, id: MessageId, endpoint: EndpointId) -> bool {
         let (Some(held), Some(at)) = (self.held.get(&id), self.directory.endpoint(endpoint)) else {
             return false;
@@ -132,8 +131,7 @@
         }
     }
 
-    /// The one place that chooses between refusing and failing: a refusal promises that nothing ran, or that
-    /// coming again is harmless.
+    /// The one place that chooses between refusing and failing: refused, coming again is harmless.
     pub(super) fn end(&mut self, id: MessageId, actions: &mut Vec<Action>) {
         let Some(held) = self.held.get(&id) else { return };
         let harmless = match self.settings.classes[held.message.class.0].repeat {
@@ -195,8 +193,7 @@
         worth(&self.settings.classes[class.0], self.settings.decay, self.now, deadline, delay)
     }
 
-    /// With the room almost full, the message worth least is refused for the newcomers' sake; of those worth
-    /// the same, the one whose time is up first.
+    /// With the room almost full, the message worth least is refused for newcomers, of equals the first due.
     pub(super) fn shed(&mut self, actions: &mut Vec<Action>) {
         while self.held.len() > self.room() {
             let never_ran = self
--- a/src/decision/turns.rs
+++ b/src/decision/turns.rs
@@ -8,8 +8,7 @@
 const TIMEOUT_OF_AIM: f64 = 1.2;
 /// Unsafe messages: time-out in aims. A time-out costs them their only try, a late answer only some worth.
 const UNSAFE_TIMEOUT_OF_AIM: f64 = 2.3;
-/// Shortest time-out of a repeatable message while answers get lost, and of an unsafe one while slots are
-/// scarce, as a share of the longest.
+/// The same of a repeatable message while answers get lost, and of an unsafe one while slots are scarce.
 const KNOWN_TIMEOUT: f64 = 0.2;
 /// Shortest time-out of a repeatable message while slots are scarce, as a share of the longest.
 const SCARCE_TIMEOUT: f64 = 0.1;
@@ -50,8 +49,8 @@
         let class = &self.settings.classes[held.message.class.0];
         let may_repeat = class.repeat != Repeat::Unsafe;
         let aims = if may_repeat { TIMEOUT_OF_AIM } else { UNSAFE_TIMEOUT_OF_AIM };
-        // While answers get lost, a repeatable message waits no longer than for the slowest healthy one.
-        // While slots are scarce none does: a few silent calls would keep all who wait from theirs.
+        // While answers get lost, a repeatable message waits no longer than for the slowest healthy one;
+        // while slots are scarce none does.
         let most = 2.0 * class.aim.0 as f64 * aims;
         let scarce = self.calls.len() as f64 >= SCARCE * self.settings.slots as f64;
         let least = match line.latency > 0.0 {
@@ -64,8 +63,7 @@
     }
 
     /// Fair turns: each free slot goes to the waiting destination with the fewest calls out, of those to the
-    /// one whose first message is worth most, then to the one whose time is up first: fresh messages before
-    /// those already late.
+    /// one whose first message is worth most, then to the one whose time is up first.
     pub(super) fn give_turns(&mut self, actions: &mut Vec<Action>) {
         self.unfinished |= (0..MOST_IN_STEP).all(|_| match self.waiting.next_woken() {
             Some(woken) => {
@@ -125,8 +123,7 @@
         found.ok_or(opens.into_iter().chain([patient]).min())
     }
 
-    /// The first message for a destination that one of these endpoints may be sent; `held_back`: as far as
-    /// patience allows.
+    /// The first message for a destination that one of these endpoints may be sent, `held_back` by patience.
     fn first(&self, destination: DestinationId, open: &[EndpointId], held_back: bool) -> Option<MessageId> {
         let open = || open.iter().filter_map(|id| self.directory.endpoint(*id));
         let firsts = self.waiting.lanes(destination).iter().filter_map(|lane| {
@@ -160,18 +157,16 @@
         }
     }
 
-    /// A call has one end: it is given up when the last of its messages would be, but none is kept past its
-    /// time.
+    /// A call has one end: it is given up when the last of its messages would be, but none is kept too long.
     pub(super) fn expire_together(&self, call: &mut [Action]) {
-        let (mut longest, mut due) = (Time(0), Time(u64::MAX));
-        for action in call.iter() {
-            if let Action::Send { message, expires, .. } = action {
-                (longest, due) = (longest.max(*expires), due.min(self.held[message].deadline));
-            }
-        }
-        let end = longest.min(Time(due.0.saturating_sub(self.settings.period.0)));
+        let ends = call.iter().filter_map(|action| match action {
+            Action::Send { message, expires, .. } => Some((*expires, self.held[message].deadline)),
+            _ => None,
+        });
+        let all = ends.reduce(|a, b| (a.0.max(b.0), a.1.min(b.1)));
+        let end = all.map(|(longest, due)| longest.min(Time(due.0.saturating_sub(self.settings.period.0))));
         for action in call {
-            if let Action::Send { expires, .. } = action {
+            if let (Action::Send { expires, .. }, Some(end)) = (action, end) {
                 *expires = end;
             }
         }
@@ -187,7 +182,7 @@
     pub(super) fn choose(&self, id: MessageId, open: &[EndpointId]) -> Option<EndpointId> {
         let held = self.held.get(&id)?;
         let class = &self.settings.classes[held.message.class.0];
-        // An endpoint not yet called counts as fast as the fastest known, faster where many calls follow.
+        // One not yet called counts as fast as the fastest known, faster where many calls follow.
         let endpoints = || self.directory.endpoints_of(held.message.destination);
         let lines = || endpoints().map(|(_, at)| self.directory.line(at.line));
         let calls = lines().map(|l| self.flow(l).rate).sum::<f64>() * seconds(self.settings.rules.fall.0);
@@ -215,9 +210,9 @@
         best.map(|(_, endpoint)| endpoint)
     }
 
-    /// An unsafe message has one try: it waits while failures that may have run would cost it more, by the
-    /// learned share, than half a ramp's delay would. That share leaps with each failure, so it counts only
-    /// where failures came in a row within a ramp: outages do, what befalls calls singly is not waited out.
+    /// An unsafe message has one try: it waits while failures would cost it more, by the learned share, than
+    /// half a ramp's delay. That share leaps with each failure: it counts only where failures came in a row
+    /// within a ramp.
     fn better_held(&self, class: ClassId, deadline: Time, line: &Line) -> bool {
         let ramp = self.settings.rules.ramp.0;
         if line.doubted.is_none_or(|doubted| since(self.now, doubted) >= ramp) {
--- a/src/index/directory.rs
+++ b/src/index/directory.rs
@@ -108,7 +108,7 @@
 
     /// Enters what a list says, all of it if it is `whole`: then what it does not name is gone. A new endpoint gets a
     /// line of its own by `line`, and so does a new destination whose endpoints share a limit, which `shares` tells.
-    /// All endpoints that were told of, with since when they are gone, if they are.
+    /// All endpoints that were told of, with since when they are gone, if they are, and what the list said before.
     pub fn enter(
         &mut self,
         entries: &[Entry],
@@ -116,7 +116,7 @@
         now: Time,
         shares: impl Fn(KindId) -> bool,
         line: impl Fn(&Entry, Option<EndpointId>) -> L,
-    ) -> Vec<(EndpointId, DestinationId, Option<Time>)> {
+    ) -> Vec<(EndpointId, DestinationId, Option<Time>, Listing)> {
         let mut told = Vec::with_capacity(entries.len());
         if whole {
             let listed = self.endpoints.iter().filter(|(_, known)| known.listing != Listing::Removed);
@@ -148,13 +148,13 @@
         id: EndpointId,
         listing: Listing,
         now: Time,
-    ) -> Option<(EndpointId, DestinationId, Option<Time>)> {
+    ) -> Option<(EndpointId, DestinationId, Option<Time>, Listing)> {
         let known = self.endpoints.get_mut(&id)?;
         if known.listing != Listing::Removed || listing != Listing::Removed {
             known.gone = now;
         }
-        known.listing = listing;
-        Some((id, known.destination, (listing == Listing::Removed).then_some(known.gone)))
+        let before = std::mem::replace(&mut known.listing, listing);
+        Some((id, known.destination, (listing == Listing::Removed).then_some(known.gone), before))
     }
 
     /// Forgets an endpoint that has been gone since `before` or longer, and its destination with the last one, as far
@@ -192,6 +192,22 @@
         (forgotten, None)
     }
 
+    /// The same for several, each once, in order: what became of each.
+    pub fn retire_all(
+        &mut self,
+        mut leaving: Vec<(EndpointId, DestinationId)>,
+        before: Time,
+        wanted: impl Fn(&L) -> Option<Time>,
+    ) -> Vec<(EndpointId, DestinationId, bool, Option<Time>)> {
+        leaving.sort_unstable();
+        leaving.dedup();
+        let mut retire = |(id, of)| {
+            let (forgotten, again) = self.retire(id, of, before, &wanted);
+            (id, of, forgotten, again)
+        };
+        leaving.into_iter().map(&mut retire).collect()
+    }
+
     fn place(&mut self, line: L) -> usize {
         match self.free.pop() {
             Some(place) => {
@@ -223,7 +239,7 @@
     ) -> Vec<(u32, Option<u64>)> {
         let line = |entry: &Entry, own| (entry.destination, own);
         let told = known.enter(entries, whole, Time(now), |_| true, line);
-        told.into_iter().map(|(id, _, gone)| (id.0, gone.map(|gone| gone.0))).collect()
+        told.into_iter().map(|(id, _, gone, _)| (id.0, gone.map(|gone| gone.0))).collect()
     }
 
     type Line = (DestinationId, Option<EndpointId>);
--- a/src/index/waiting.rs
+++ b/src/index/waiting.rs
@@ -99,18 +99,27 @@
 impl Waiting {
     /// Empty books for classes whose worth bends so.
     pub fn new(bends: Vec<Bends>) -> Self {
-        Self {
+        let mut waiting = Self {
             timers: Timers::new(),
-            ends: bends.iter().map(|_| [Shelf::new(), Shelf::new()]).collect(),
-            ranked: bends.iter().map(|_| Shelf::new()).collect(),
-            bends,
+            ends: Vec::new(),
+            ranked: Vec::new(),
+            bends: Vec::new(),
             queues: FxHashMap::default(),
             woken: VecDeque::new(),
             ready: 0,
             heads: Vec::new(),
             now: Time(0),
             dead: Time(0),
-        }
+        };
+        waiting.classes(bends);
+        waiting
+    }
+
+    /// From here on there are these classes, the earlier ones among them under their numbers.
+    pub fn classes(&mut self, bends: Vec<Bends>) {
+        self.ends.resize_with(bends.len(), || [Shelf::new(), Shelf::new()]);
+        self.ranked.resize_with(bends.len(), Shelf::new);
+        self.bends = bends;
     }
 
     /// From here on it is `now`, and messages of deadlines before `dead` are not offered.
--- a/src/index/worth.rs
+++ b/src/index/worth.rs
@@ -18,6 +18,19 @@
     class.worth * share(class, decay, late)
 }
 
+/// The mean of a rate that grows evenly from `a` to `b` and is held under `most` and, before all, over `least`.
+pub fn mean_rate(a: f64, b: f64, least: f64, most: f64) -> f64 {
+    let [x, y] = [a, b].map(|rate| rate.min(most).max(least));
+    let below = least * (b.min(least) - a.min(least));
+    let above = if b > y { y * (b - a.max(y)) } else { 0.0 };
+    if b > a { (below + (y * y - x * x) / 2.0 + above) / (b - a) } else { x }
+}
+
+/// Moves a learned share by one more observation of that weight.
+pub fn learn(share: &mut f64, seen: bool, weight: f64) {
+    *share += weight * (f64::from(u8::from(seen)) - *share);
+}
+
 /// Where it begins to fall, and where it falls no more.
 pub fn bends(class: &Class, decay: Decay) -> Bends {
     let falls = class.worth > 0.0 && class.late_worth < 1.0;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,13 +1,14 @@
 //! The interface of the decision module: settings, events, actions, and the types of ids and time.
 //!
 //! Nothing here decides anything. All times are whole microseconds on the host's clock.
+use serde::{Deserialize, Serialize};
 
 /// A point on the host's clock, in microseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Time(pub u64);
 
 /// A length of time, in microseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Span(pub u64);
 
 /// Microseconds as seconds.
@@ -58,7 +59,7 @@
 pub struct ZoneId(pub usize);
 
 /// Which endpoints of a destination drop a repeat of a keyed message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Group {
     /// All of them.
     All,
@@ -67,7 +68,7 @@
 }
 
 /// What a repeat of a message would do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
     /// Nothing: it may be repeated freely.
     Safe,
@@ -83,7 +84,7 @@
 }
 
 /// A class of messages.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// Delivered within this time, a message earns its full worth.
     pub aim: Span,
@@ -212,6 +213,7 @@
     pub fn check(&self) -> Result<(), SettingsError> {
         let check = |ok: bool, what| if ok { Ok(()) } else { Err(SettingsError(what)) };
         check(!self.classes.is_empty() && !self.kinds.is_empty(), "classes or kinds: none given")?;
+        check(self.classes.iter().all(|class| class.deadline.0 > 0), "a class's deadline: 0")?;
         check(self.slots > 0, "slots: 0 calls may be out")?;
         check(self.senders > 0 && self.max_attempts > 0, "senders or max_attempts: 0")
     }
@@ -336,6 +338,8 @@
     Noticed(MessageId),
     /// The process ends then: what cannot end before is left for the next one.
     WindDown(Time),
+    /// From now on these settings hold. Classes keep their numbers; kinds, zones and the sender's own are as before.
+    Settings(Box<Settings>),
     /// An attempt has ended.
     Ended {
         /// The message.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 mod decision;
 mod index;
 mod interface;
+mod observe;
 pub mod profile;
 
 pub use decision::Sender;
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -93,6 +93,7 @@
 }
 
 /// The module's numbers for the names that the settings use.
+#[derive(PartialEq)]
 pub struct Names {
     /// Classes of messages.
     pub classes: HashMap<String, ClassId>,
@@ -150,6 +151,14 @@
         }
     }
 
+    /// The classes by name, as they stand in the settings.
+    ///
+    /// # Errors
+    /// A class that cannot be understood.
+    pub fn classes(&self) -> Result<Vec<(String, Class)>, String> {
+        self.lanes.iter().map(|lane| Ok((lane.name.clone(), lane.class()?))).collect()
+    }
+
     /// Where the named field stands among those of a load report.
     pub fn report_field(&self, name: &str) -> Option<usize> {
         self.report.names.iter().position(|n| n == name)
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The sender as a process, with endpoints, platform and clients on loopback sockets.
 mod calls;
 mod clients;
+mod operators;
 mod restarts;
 mod world;
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -215,6 +215,8 @@
     config: Value,
     process: Option<Child>,
     pub address: SocketAddr,
+    /// The door for operators.
+    pub management: SocketAddr,
 }
 
 impl Node {
@@ -228,7 +230,7 @@
                 "repeat": repeat, "group": "all", "key_ttl": 20_000_000, "fifo_by_key": fifo})
         };
         let mut config = json!({
-            "name": "n1", "listen": "127.0.0.1:0", "discovery": platform.address.to_string(), "seed": "8c1f30d27a5be964",
+            "name": "n1", "listen": "127.0.0.1:0", "management": "127.0.0.1:0", "discovery": platform.address.to_string(), "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
             "known": {"revision": 1, "complete": true, "members": members},
             "settings": {
@@ -250,6 +252,7 @@
             config,
             process: None,
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            management: SocketAddr::from(([127, 0, 0, 1], 0)),
         };
         node.begin().await;
         node
@@ -269,13 +272,15 @@
         self.process = Some(process);
         let (told, address) = oneshot::channel();
         std::thread::spawn(move || {
-            let listens = log.find_map(|line| line.strip_prefix("listening on ").map(str::to_owned));
+            let mut after = |what| log.find_map(|line| Some(line.split_once(what)?.1.to_owned()));
+            let listens = after("listening on ").zip(after("operators: listening on "));
             let _ = told.send(listens);
             // Read on, so that the process never waits for room in the pipe.
             log.for_each(|line| println!("sender: {line}"));
         });
         let address = timeout(PATIENCE, address).await.expect("a start").unwrap();
-        self.address = address.expect("a listening sender").parse().unwrap();
+        let (clients, operators) = address.expect("a listening sender");
+        (self.address, self.management) = (clients.parse().unwrap(), operators.parse().unwrap());
     }
 
     pub fn kill(&mut self) {
@@ -299,10 +304,26 @@
 
     /// The same with a file that holds no configuration.
     pub fn spoil_config(&self) {
-        std::fs::write(self.folder.path().join("config.json"), "{").unwrap();
+        self.reload_text("{");
+    }
+
+    /// The same with a changed configuration.
+    pub fn reload_changed(&mut self, change: impl FnOnce(&mut Value)) {
+        change(&mut self.config);
+        self.reload_text(&self.config.to_string());
+    }
+
+    /// The same with any text.
+    pub fn reload_text(&self, text: &str) {
+        std::fs::write(self.folder.path().join("config.json"), text).unwrap();
         self.signal("HUP");
     }
 
+    /// The configuration as it was last written whole.
+    pub fn config(&self) -> Value {
+        self.config.clone()
+    }
+
     fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.process.as_ref().unwrap().id());
         assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
@@ -333,7 +354,35 @@
     }
 
     pub async fn request(&self, what: &str, headers: &str, body: &[u8]) -> Http {
-        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        request_at(self.address, what, headers, body).await
+    }
+
+    /// An operator's call.
+    pub async fn operator(&self, what: &str, body: &str) -> Http {
+        request_at(self.management, what, "", body.as_bytes()).await
+    }
+
+    pub async fn figures(&self) -> Value {
+        self.operator("GET /status/metrics", "").await.json()
+    }
+
+    /// Waits until the figures are as wanted; each look is a little later than the last.
+    pub async fn figures_where(&self, what: &str, wanted: impl Fn(&Value) -> bool) -> Value {
+        let until = tokio::time::Instant::now() + PATIENCE;
+        loop {
+            let figures = self.figures().await;
+            if wanted(&figures) {
+                return figures;
+            }
+            assert!(tokio::time::Instant::now() < until, "{what}: {figures}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+async fn request_at(address: SocketAddr, what: &str, headers: &str, body: &[u8]) -> Http {
+    {
+        let mut stream = TcpStream::connect(address).await.unwrap();
         let head = format!("{what} HTTP/1.1\r\nHost: a\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
         stream.write_all(head.as_bytes()).await.unwrap();
         // A sender may answer before it has read a body that it does not want.
