--- a/src/daemon/classes.rs
+++ b/src/daemon/classes.rs
@@ -69,6 +69,11 @@
         self.known.iter().map(|(_, class)| class.clone()).collect()
     }
 
+    /// The same with their names.
+    pub fn named(&self) -> &[Named] {
+        &self.known
+    }
+
     /// Names that the settings use now.
     pub fn names(&self) -> impl Iterator<Item = &str> {
         self.current.keys().map(String::as_str)
--- /dev/null
+++ b/src/daemon/handover.rs
@@ -0,0 +1,180 @@
+//! How one process of a sender gives its place to the next on the same machine: over a Unix socket in the folder that
+//! lasts, with the listening socket itself, the list, and what the module learned of partners.
+//!
+//! The next process asks. The one at work settles, closes the journal, and gives what it has. Until the other says
+//! that it has taken it, the place is still its own: if the link ends first, the other has ended, and it goes on.
+use super::classes::Named;
+use super::input::Input;
+use super::ports::{Listener, Log};
+use super::targets::Member;
+use crate::Learned;
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags, recvmsg, sendmsg,
+};
+use serde::{Deserialize, Serialize};
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::{sleep, timeout};
+
+/// The socket's name in the folder that lasts.
+const NAME: &str = "handover.sock";
+/// What a successor says first. The number is the version of all that follows.
+const HELLO: &[u8; 19] = b"micadrum handover 1";
+/// What it says once the place is its own.
+const TAKEN: u8 = b'T';
+/// A link that says nothing for so long at its start is none.
+const HELLO_PATIENCE: Duration = Duration::from_millis(500);
+/// The process at work settles within a second; the platform gives the next one 6 s to be ready.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// No inheritance is longer, in bytes.
+const MOST: u64 = 32 << 20;
+
+/// What one process leaves to the next, beside the journal.
+#[derive(Default, Serialize, Deserialize)]
+pub struct Inheritance {
+    /// The list as it last had it.
+    pub members: Vec<Member>,
+    /// By id of an endpoint: what the module learned of its own line, and of the one that it shares.
+    pub learned: Vec<(String, [Option<Learned>; 2])>,
+    /// All classes that its messages may be of.
+    pub classes: Vec<Named>,
+}
+
+/// Why a place could not be taken.
+#[derive(Debug, thiserror::Error)]
+pub enum HandoverError {
+    /// The process at work did not give it.
+    #[error("the process at work did not give up its place within 5 s")]
+    Late,
+    /// The link broke.
+    #[error("the link to the process at work: {0}")]
+    Link(#[from] io::Error),
+    /// What came cannot be read.
+    #[error("what the process at work left cannot be read: {0}")]
+    Unreadable(String),
+}
+
+/// The link to the process whose place is taken.
+pub struct Predecessor(UnixStream);
+
+/// The link to the process that takes this one's place.
+pub struct Successor(UnixStream);
+
+/// What the next process starts with.
+pub struct Taken {
+    /// The link, until the place is its own.
+    pub predecessor: Predecessor,
+    /// The listening socket.
+    pub listener: OwnedFd,
+    /// And the rest.
+    pub inheritance: Inheritance,
+}
+
+/// Asks for the place of the process at work in that folder; none if there is none.
+///
+/// # Errors
+/// One is at work, and does not give its place up.
+pub async fn ask(folder: &Path) -> Result<Option<Taken>, HandoverError> {
+    // A socket that nobody listens at was left by a process that ended.
+    let Ok(mut stream) = UnixStream::connect(folder.join(NAME)).await else { return Ok(None) };
+    stream.write_all(HELLO).await?;
+    let given = timeout(PATIENCE, receive(&mut stream)).await.map_err(|_| HandoverError::Late)?;
+    let (listener, inheritance) = given?;
+    Ok(Some(Taken { predecessor: Predecessor(stream), listener, inheritance }))
+}
+
+async fn receive(stream: &mut UnixStream) -> Result<(OwnedFd, Inheritance), HandoverError> {
+    let unreadable = |what: &str| HandoverError::Unreadable(what.to_owned());
+    let mut length = [0; 8];
+    let mut fd = None;
+    let read = stream.async_io(Interest::READABLE, || {
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut control = RecvAncillaryBuffer::new(&mut space);
+        let into = &mut [IoSliceMut::new(&mut length)];
+        let read = recvmsg(&*stream, into, &mut control, RecvFlags::CMSG_CLOEXEC)?.bytes;
+        fd = control.drain().find_map(|message| match message {
+            RecvAncillaryMessage::ScmRights(mut fds) => fds.next(),
+            _ => None,
+        });
+        Ok(read)
+    });
+    if read.await? != length.len() {
+        return Err(unreadable("its length"));
+    }
+    let fd = fd.ok_or_else(|| unreadable("the listening socket"))?;
+    let length = Some(u64::from_le_bytes(length)).filter(|length| *length <= MOST);
+    let mut bytes = vec![0; length.ok_or_else(|| unreadable("a length beyond all bounds"))? as usize];
+    stream.read_exact(&mut bytes).await?;
+    let inheritance = postcard::from_bytes(&bytes).map_err(|e| HandoverError::Unreadable(e.to_string()))?;
+    Ok((fd, inheritance))
+}
+
+impl Predecessor {
+    /// From now on the place is this process's. One that has ended meanwhile need not hear it.
+    pub async fn taken(mut self) {
+        let _ = self.0.write_all(&[TAKEN]).await;
+    }
+}
+
+impl Successor {
+    /// Gives what there is.
+    ///
+    /// # Errors
+    /// The link is broken, or the listener is none that can be given.
+    pub async fn give(&mut self, listener: &dyn Listener, inheritance: &Inheritance) -> io::Result<()> {
+        let bytes = postcard::to_allocvec(inheritance).map_err(io::Error::other)?;
+        let length = (bytes.len() as u64).to_le_bytes();
+        let fd = listener.as_fd().ok_or(io::ErrorKind::Unsupported)?;
+        let sent = self.0.async_io(Interest::WRITABLE, || {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+            let mut control = SendAncillaryBuffer::new(&mut space);
+            let fds = [fd];
+            if !control.push(SendAncillaryMessage::ScmRights(&fds)) {
+                return Err(io::ErrorKind::OutOfMemory.into());
+            }
+            Ok(sendmsg(&self.0, &[IoSlice::new(&length)], &mut control, SendFlags::NOSIGNAL)?)
+        });
+        if sent.await? != length.len() {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        self.0.write_all(&bytes).await
+    }
+
+    /// Waits until the place is the other's; false if the other has ended instead.
+    pub async fn taken(&mut self) -> bool {
+        let mut word = [0];
+        self.0.read_exact(&mut word).await.is_ok() && word[0] == TAKEN
+    }
+}
+
+/// Listens for the next process for as long as this one runs; a folder that takes no socket costs only this.
+pub async fn listen(folder: PathBuf, host: UnboundedSender<Input>, log: Rc<dyn Log>) {
+    let path = folder.join(NAME);
+    // That of an earlier process: nobody listens there any more.
+    let _ = std::fs::remove_file(&path);
+    let listener = match UnixListener::bind(&path) {
+        Ok(listener) => listener,
+        Err(e) => return log.line(&format!("no handover to a next process: {NAME}: {e}")),
+    };
+    loop {
+        let Ok((mut stream, _)) = listener.accept().await else {
+            sleep(HELLO_PATIENCE).await;
+            continue;
+        };
+        let mut hello = [0; HELLO.len()];
+        let heard = timeout(HELLO_PATIENCE, stream.read_exact(&mut hello)).await;
+        if heard.is_ok_and(|read| read.is_ok()) && hello == *HELLO {
+            let _ = host.send(Input::Successor(Successor(stream)));
+        } else {
+            log.line("handover: a caller that is no micadrum of this version was turned away");
+        }
+    }
+}
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -6,6 +6,7 @@
 use super::config::Config;
 use super::connection::Connection;
 use super::figures::Figures;
+use super::handover::{Inheritance, Successor};
 use super::input::{Answer, Ask, AskError, Called, Doors, Input};
 use super::latest::Latest;
 use super::maintenance::{Maintenance, replace};
@@ -29,13 +30,17 @@
 use std::time::Duration;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep_until};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// From SIGTERM to the end of the process: the platform kills no sooner than 3.7 s after it.
 const WIND_DOWN: Duration = Duration::from_millis(3400);
 /// From SIGTERM on, clients still come for 0.4 s.
 const STILL_COMING: Duration = Duration::from_millis(600);
+/// From a successor's word until its place is given: calls that take longer are given up.
+const SETTLE: Duration = Duration::from_secs(1);
+/// How long a call that is given up may take to be closed: nobody may have a second copy while it is open.
+const CLOSING: Duration = Duration::from_millis(10);
 
 /// The module's clock: wall time at the start, so that deadlines hold across processes, carried on by the
 /// monotonic clock, so that nothing within one process jumps.
@@ -92,6 +97,18 @@
     end: Instant,
 }
 
+/// What a host leaves behind that gave up its place.
+pub struct Legacy {
+    /// To whom.
+    pub successor: Successor,
+    /// What it leaves, beside the journal.
+    pub inheritance: Inheritance,
+    /// The configuration that it followed.
+    pub config: Rc<Config>,
+    /// Its last picture.
+    pub figures: Rc<Figures>,
+}
+
 /// A sender at work.
 pub struct Host {
     sender: Sender,
@@ -123,6 +140,11 @@
     last_step: Instant,
     wake_at: Option<Instant>,
     winding_down: Option<WindDown>,
+    /// Who takes its place, and when.
+    successor: Option<(Successor, Instant)>,
+    /// Calls that are out.
+    tasks: JoinSet<()>,
+    config: Rc<Config>,
     doors: Latest<Doors>,
     outside: Outside,
     notices: UnboundedSender<Notice>,
@@ -141,15 +163,15 @@
 }
 
 /// What a host starts from.
-pub struct Start<'a> {
-    /// The settings.
-    pub profile: &'a Profile,
-    /// The keys of their configuration.
+pub struct Start {
+    /// The configuration.
+    pub config: Rc<Config>,
+    /// The keys that each has to hold.
     pub shape: Shape,
     /// For random numbers.
     pub seed: u64,
-    /// The list as this sender last had it.
-    pub known: Targets,
+    /// What the process before left, if there was one.
+    pub inheritance: Option<Inheritance>,
 }
 
 /// The module's settings, with all classes that there have been.
@@ -161,13 +183,15 @@
 impl Host {
     /// A host that takes up what the journal still owes.
     pub fn new(
-        start: Start<'_>,
+        start: Start,
         store: Store,
         links: Links,
         budget: Budget,
         ports: Ports,
     ) -> Result<Self, String> {
-        let Start { profile, shape, seed, known } = start;
+        let Start { config, shape, seed, inheritance } = start;
+        let profile = &config.settings;
+        let Inheritance { members, learned, classes: earlier } = inheritance.unwrap_or_default();
         let names = profile.names();
         let retired = retired_classes(&*ports.storage).unwrap_or_else(|e| {
             ports.log.line(&format!("{CLASSES}: {e}; messages of classes that have gone will fail"));
@@ -175,7 +199,8 @@
         });
         // Only those are still of use that a message is of.
         let wanted = |class: &Named| store.owed().any(|(_, owed)| owed.message.class == class.0);
-        let classes = Classes::new(profile.classes()?, retired.into_iter().filter(wanted).collect())?;
+        let retired = earlier.into_iter().chain(retired).filter(wanted).collect();
+        let classes = Classes::new(profile.classes()?, retired)?;
         let settings = settings(profile, &names, &classes)?;
         let (maintenance, wrong) = Maintenance::open(ports.storage.clone());
         if let Some(wrong) = wrong {
@@ -212,26 +237,39 @@
             last_step: Instant::now(),
             wake_at: None,
             winding_down: None,
+            successor: None,
+            tasks: JoinSet::new(),
+            config: config.clone(),
             doors: links.doors,
             outside: Outside { ports, fields, written: Arc::default(), unread, host: links.inputs },
             notices: links.notices,
         };
         host.show_classes();
-        host.targets(known);
+        // What the process before had is newer than the file.
+        host.targets(match members.is_empty() {
+            true => config.known.clone(),
+            false => Targets { revision: 0, complete: true, members },
+        });
+        host.step();
+        for (name, learned) in learned {
+            if let Some(id) = host.endpoint_ids.get(&name) {
+                host.sender.take_up(*id, learned);
+            }
+        }
         host.resume();
         host.step();
         Ok(host)
     }
 
-    /// Works until it has wound down.
-    pub async fn run(mut self, mut inputs: UnboundedReceiver<Input>) {
+    /// Works until it has wound down, or given up its place.
+    pub async fn run(mut self, inputs: &mut UnboundedReceiver<Input>) -> Option<Legacy> {
         loop {
             let due = self.due();
             tokio::select! {
                 biased;
                 input = inputs.recv() => match input {
                     Some(input) => self.take_in(input),
-                    None => return,
+                    None => return None,
                 },
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {}
             }
@@ -248,11 +286,33 @@
                 && now >= wind_down.quiet
                 && (now >= wind_down.end || (self.calls.is_empty() && self.store.owed().next().is_none()))
             {
-                return;
+                return None;
+            }
+            while self.tasks.try_join_next().is_some() {}
+            if let Some((successor, _)) =
+                self.successor.take_if(|(_, end)| now >= *end || self.calls.is_empty())
+            {
+                return Some(self.give_up(successor).await);
             }
         }
     }
 
+    /// Ends with all calls closed and the journal as it is; from here on nothing is taken in.
+    async fn give_up(mut self, successor: Successor) -> Legacy {
+        self.doors.set(Doors::Giving);
+        self.tasks.shutdown().await;
+        sleep(CLOSING).await;
+        self.picture = None;
+        let figures = Figures { inflight: 0, ..(*self.picture()).clone() };
+        let known = || self.endpoints.iter();
+        let inheritance = Inheritance {
+            members: known().map(|(_, known)| known.member.clone()).collect(),
+            learned: known().map(|(id, known)| (known.member.id.clone(), self.sender.learned(*id))).collect(),
+            classes: self.classes.named().to_vec(),
+        };
+        Legacy { successor, inheritance, config: self.config, figures: Rc::new(figures) }
+    }
+
     fn now(&self) -> Time {
         self.clock.at(Instant::now())
     }
@@ -265,7 +325,8 @@
 
     fn due(&self) -> Option<Instant> {
         let wind_down = self.winding_down.map(|w| if Instant::now() < w.quiet { w.quiet } else { w.end });
-        self.step_at().into_iter().chain(wind_down).min()
+        let successor = self.successor.as_ref().map(|(_, end)| *end);
+        self.step_at().into_iter().chain(wind_down).chain(successor).min()
     }
 
     // ---- what comes in -------------------------------------------------------------------------------
@@ -298,7 +359,11 @@
             }
             Input::WindDown => self.wind_down(),
             Input::Reload(config) => {
-                let done = config.and_then(|config| self.reload(&config));
+                let done = config.and_then(|config| {
+                    let told = self.reload(&config)?;
+                    self.config = config.into();
+                    Ok(told)
+                });
                 match done {
                     Ok(told) => {
                         self.figures.reconfig_ok += 1;
@@ -311,6 +376,14 @@
                     }
                 }
             }
+            // A second one while the first is on its way breaks its link.
+            Input::Successor(successor) if self.successor.is_none() => {
+                let end = Instant::now() + SETTLE;
+                self.log("a next process asks for this one's place");
+                self.successor = Some((successor, end));
+                self.pending.push((self.now(), Event::HandOver(self.clock.at(end))));
+            }
+            Input::Successor(_) => {}
             Input::Operator(Ask::Figures(answer)) => drop(answer.send(self.picture())),
             Input::Operator(Ask::Maintain { endpoint, out, done }) => {
                 let _ = done.send(self.maintain(&endpoint, out));
@@ -695,7 +768,7 @@
             connect_timeout: Duration::from_micros(self.settings.connect_timeout.0),
         };
         let (kept, outside) = (self.pool.take(endpoint, address, Instant::now()), self.outside.clone());
-        spawn_local(async move {
+        self.tasks.spawn_local(async move {
             if let Some(connection) = call.run(kept, &outside).await {
                 let _ = outside.host.send(Input::Idle(endpoint, address, connection));
             }
--- a/src/daemon/input.rs
+++ b/src/daemon/input.rs
@@ -2,6 +2,7 @@
 use super::config::Config;
 use super::connection::Connection;
 use super::figures::Figures;
+use super::handover::Successor;
 use super::maintenance::MaintenanceError;
 use super::store::Handed;
 use super::targets::Targets;
@@ -55,6 +56,8 @@
     Reload(Result<Box<Config>, String>),
     /// What an operator asks.
     Operator(Ask),
+    /// The next process asks for this one's place.
+    Successor(Successor),
 }
 
 /// What operators ask of a sender.
@@ -103,8 +106,15 @@
 /// What winding down asks of the clients' connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Doors {
+    /// Not yet open.
+    Opening,
     /// All as usual.
     Open,
+    /// The place is being given to the next process: nobody new is let in, and who is here is passed on to the address
+    /// that both share, with an end to the connection.
+    Giving,
+    /// The same, and the place is the other's for good.
+    Given,
     /// Each connection ends with its next answer, so that its client goes elsewhere; new ones are answered too.
     Closing,
     /// The process is about to end: no new connections, and idle ones are closed.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -9,6 +9,7 @@
 mod connection;
 mod discovery;
 mod figures;
+mod handover;
 mod host;
 mod input;
 mod latest;
@@ -26,16 +27,22 @@
 
 use budget::Budget;
 use config::Config;
-use host::{Host, Links, Start};
-use input::{Doors, Input};
+use figures::Figures;
+pub use handover::HandoverError;
+use handover::Taken;
+use host::{Host, Legacy, Links, Start};
+use input::{Ask, Doors, Input};
 use latest::Latest;
-use ports::Ports;
+use ports::{Listener, Ports};
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 use store::{Damage, Store, StoreError};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, JoinSet, spawn_local};
 
 /// How long answers on their way out may take once the host has ended.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
@@ -60,6 +67,9 @@
     /// The settings cannot be acted on.
     #[error("settings: {0}")]
     Settings(String),
+    /// A process is at work here, and keeps its place.
+    #[error("handover: {0}")]
+    Handover(#[from] HandoverError),
     /// Clients cannot be listened for.
     #[error("listening on {address}: {source}")]
     Listen {
@@ -76,7 +86,8 @@
     }
 }
 
-/// Runs one sender until it has wound down, on the tasks of the [`tokio::task::LocalSet`] that it is called in.
+/// Runs one sender until it has wound down or given its place to the next process, on the tasks of the
+/// [`tokio::task::LocalSet`] that it is called in.
 ///
 /// # Errors
 /// Why it could not start; once it listens, it ends only in good order.
@@ -88,47 +99,138 @@
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed.clone()))?;
     let budget = Budget::new(&config.limits, config.settings.most_calls(), config.management.is_some());
     let shape = config.shape();
-    let (store, damage) = Store::open(ports.storage.clone(), budget.disk)?;
-    if damage != Damage::default() {
-        let Damage { torn, skipped } = damage;
-        ports.log.line(&format!("journal: {torn} bytes cut off at the end, {skipped} passed over"));
-    }
-    let (inputs, from_all) = unbounded_channel();
-    let (notices, queue) = unbounded_channel();
-    let doors = Latest::new(Doors::Open);
+    let (inputs, mut from_all) = unbounded_channel();
+    let doors = Latest::new(Doors::Opening);
     let platform = Latest::new(config.discovery);
-    let links = Links { inputs: inputs.clone(), notices, doors: doors.clone(), platform: platform.clone() };
-    let start = Start { profile: &config.settings, shape, seed, known: config.known };
-    let host = Host::new(start, store, links, budget, ports.clone()).map_err(StartError::Settings)?;
-    // Only now: a sender that can be reached has taken up what it owes.
-    let address = config.listen;
-    let listener = ports.network.listen(address).await;
-    let listener = listener.map_err(|source| StartError::Listen { address, source })?;
-    let listens = listener.local_addr().map_err(|source| StartError::Listen { address, source })?;
-    ports.log.line(&format!("listening on {listens}"));
     if let Some(address) = config.management {
-        let listener = ports.network.listen(address).await;
-        let listener = listener.map_err(|source| StartError::Listen { address, source })?;
-        let listens = listener.local_addr().map_err(|source| StartError::Listen { address, source })?;
-        ports.log.line(&format!("operators: listening on {listens}"));
+        let (listener, at) = listen(&ports, address, None).await?;
+        ports.log.line(&format!("operators: listening on {at}"));
         spawn_local(management::serve(listener, inputs.clone(), doors.clone(), ports.log.clone()));
     }
-    spawn_local(discovery::watch(platform.clone(), inputs.clone(), ports.clone()));
-    spawn_local(notices::run(platform.clone(), queue, inputs.clone(), ports.clone()));
     let on_signal = inputs.clone();
     spawn_local(async move {
         while let Some(signal) = signals.recv().await {
-            let input = match signal {
+            let _ = on_signal.send(match signal {
                 Signal::WindDown => Input::WindDown,
                 Signal::Reload(config) => Input::Reload(config),
-            };
-            let _ = on_signal.send(input);
+            });
         }
     });
-    let server = spawn_local(server::serve(listener, inputs, doors.clone(), budget, ports.log.clone()));
-    host.run(from_all).await;
-    // Whoever comes until now has heard an answer.
-    doors.set(Doors::Shut);
-    let _ = tokio::time::timeout(LAST_ANSWERS, server).await;
-    Ok(())
+    let (mut predecessor, mut inheritance, mut adopted) = match &ports.handover {
+        Some(folder) => match handover::ask(folder).await? {
+            Some(Taken { predecessor, listener, inheritance }) => {
+                (Some(predecessor), Some(inheritance), Some(listener))
+            }
+            None => (None, None, None),
+        },
+        None => (None, None, None),
+    };
+    let mut config = Rc::new(config);
+    let mut place: Option<Place> = None;
+    loop {
+        let (store, damage) = Store::open(ports.storage.clone(), budget.disk)?;
+        if damage != Damage::default() {
+            let Damage { torn, skipped } = damage;
+            ports.log.line(&format!("journal: {torn} bytes cut off at the end, {skipped} passed over"));
+        }
+        let (notices, queue) = unbounded_channel();
+        let links =
+            Links { inputs: inputs.clone(), notices, doors: doors.clone(), platform: platform.clone() };
+        let start = Start { config: config.clone(), shape: shape.clone(), seed, inheritance };
+        let host = Host::new(start, store, links, budget, ports.clone()).map_err(StartError::Settings)?;
+        let mut with_platform = JoinSet::new();
+        with_platform.spawn_local(discovery::watch(platform.clone(), inputs.clone(), ports.clone()));
+        with_platform.spawn_local(notices::run(platform.clone(), queue, inputs.clone(), ports.clone()));
+        // Only now: a sender that can be reached has taken up what it owes.
+        let Place { listener, mut server } = match place.take() {
+            Some(place) => place,
+            None => {
+                let (listener, at) = listen(&ports, config.listen, adopted.take()).await?;
+                ports.log.line(&format!("listening on {at}"));
+                let listener = Rc::<dyn Listener>::from(listener);
+                let server =
+                    server::serve(listener.clone(), at, inputs.clone(), doors.clone(), budget, &ports);
+                if let Some(folder) = ports.handover.clone() {
+                    spawn_local(handover::listen(folder, inputs.clone(), ports.log.clone()));
+                }
+                Place { listener, server: spawn_local(server) }
+            }
+        };
+        doors.set(Doors::Open);
+        if let Some(predecessor) = predecessor.take() {
+            ports.log.line("took the place of the process before");
+            predecessor.taken().await;
+        }
+        let Some(legacy) = host.run(&mut from_all).await else {
+            // Whoever comes until now has heard an answer.
+            doors.set(Doors::Shut);
+            let _ = tokio::time::timeout(LAST_ANSWERS, server).await;
+            return Ok(());
+        };
+        drop(with_platform);
+        let Legacy { mut successor, inheritance: left, config: followed, figures } = legacy;
+        let given = async {
+            let gave = successor.give(&*listener, &left).await;
+            if let Err(e) = &gave {
+                ports.log.line(&format!("handover: {e}"));
+            }
+            gave.is_ok() && successor.taken().await
+        };
+        let (taken, wound_down) = stand_by(&mut from_all, &figures, given).await;
+        if taken {
+            ports.log.line("the next process took this one's place");
+            doors.set(Doors::Given);
+            // Until the last client that is still here has been passed on.
+            let _ = stand_by(&mut from_all, &figures, &mut server).await;
+            return Ok(());
+        }
+        if wound_down {
+            return Ok(());
+        }
+        ports.log.line("the next process ended on the way: this one goes on");
+        (config, inheritance, place) = (followed, Some(left), Some(Place { listener, server }));
+    }
+}
+
+/// What a sender is reached by.
+struct Place {
+    listener: Rc<dyn Listener>,
+    server: JoinHandle<()>,
+}
+
+/// Listens at an address, or goes on where another process listened.
+async fn listen(
+    ports: &Ports,
+    address: SocketAddr,
+    adopted: Option<OwnedFd>,
+) -> Result<(Box<dyn Listener>, SocketAddr), StartError> {
+    let listener = match adopted {
+        Some(adopted) => ports.network.adopt(adopted),
+        None => ports.network.listen(address).await,
+    };
+    let listening = listener.and_then(|listener| listener.local_addr().map(|at| (listener, at)));
+    listening.map_err(|source| StartError::Listen { address, source })
+}
+
+/// Waits for something while the next process has this one's place or is taking it. Operators hear how it stood when it
+/// was given; whoever asks for more hears that nobody is at work here. Whether this one was told to wind down.
+async fn stand_by<T>(
+    inputs: &mut UnboundedReceiver<Input>,
+    figures: &Rc<Figures>,
+    until: impl Future<Output = T>,
+) -> (T, bool) {
+    let mut until = pin!(until);
+    let mut wound_down = false;
+    loop {
+        tokio::select! {
+            biased;
+            done = &mut until => return (done, wound_down),
+            input = inputs.recv() => match input {
+                Some(Input::Operator(Ask::Figures(answer))) => drop(answer.send(figures.clone())),
+                Some(Input::WindDown) => wound_down = true,
+                Some(_) => {}
+                None => return (until.await, wound_down),
+            },
+        }
+    }
 }
--- a/src/daemon/ports.rs
+++ b/src/daemon/ports.rs
@@ -5,6 +5,8 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::{BorrowedFd, OwnedFd};
+use std::path::PathBuf;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,6 +44,11 @@
     /// # Errors
     /// What the system says.
     fn local_addr(&self) -> io::Result<SocketAddr>;
+
+    /// The system's own, where there is one that another process can take up.
+    fn as_fd(&self) -> Option<BorrowedFd<'_>> {
+        None
+    }
 }
 
 /// TCP, or what stands in for it.
@@ -51,6 +58,14 @@
 
     /// Listens at an address; port 0 asks for a free one.
     fn listen(&self, at: SocketAddr) -> LocalFuture<'_, io::Result<Box<dyn Listener>>>;
+
+    /// Takes up a listening socket of another process.
+    ///
+    /// # Errors
+    /// `Unsupported` where there is no such thing, or what the system says.
+    fn adopt(&self, _listener: OwnedFd) -> io::Result<Box<dyn Listener>> {
+        Err(io::ErrorKind::Unsupported.into())
+    }
 }
 
 /// A file that is only written at its end.
@@ -118,4 +133,6 @@
     pub storage: Rc<dyn Storage>,
     /// The log.
     pub log: Rc<dyn Log>,
+    /// The folder in which processes of one sender find each other, where they can.
+    pub handover: Option<PathBuf>,
 }
--- a/src/daemon/server.rs
+++ b/src/daemon/server.rs
@@ -1,19 +1,23 @@
 //! The side that clients see: messages are handed in, and answered once the journal holds them.
 use super::budget::Budget;
+use super::connection::{Connection, MOST_ANSWER, request};
 use super::input::{Answer, Doors, Input};
 use super::latest::Latest;
-use super::ports::{Listener, Log, Stream};
+use super::ports::{Listener, Log, Network, Ports, Stream};
 use super::store::Handed;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -37,6 +41,8 @@
 const HEAD_PATIENCE: Duration = Duration::from_millis(2100);
 /// The same for a body. Clients wait 400 ms for their answer, so a slower one has gone.
 const BODY_PATIENCE: Duration = Duration::from_millis(500);
+/// How long a request that is passed on to the next process may wait for a connection, and for its answer.
+const PASSED_ON: Duration = Duration::from_millis(400);
 /// How long a connection is read on after its last answer, so that a client still sending hears it.
 const LINGER: Duration = Duration::from_secs(1);
 
@@ -183,25 +189,46 @@
     }
 }
 
-/// Serves clients until the doors are shut and every request that was read has its answer.
-pub async fn serve(
-    listener: Box<dyn Listener>,
+/// What the answer to a client may need.
+struct Desk {
+    host: UnboundedSender<Input>,
+    doors: Latest<Doors>,
+    network: Rc<dyn Network>,
+    /// Where clients come, also when another process lets them in.
+    at: SocketAddr,
+}
+
+/// Serves clients until the doors are shut or the place is another's, and every request that was read has its answer.
+pub fn serve(
+    listener: Rc<dyn Listener>,
+    at: SocketAddr,
     host: UnboundedSender<Input>,
     doors: Latest<Doors>,
     budget: Budget,
-    log: Rc<dyn Log>,
-) {
+    ports: &Ports,
+) -> impl Future<Output = ()> + use<> {
+    let desk = Rc::new(Desk { host, doors, network: ports.network.clone(), at });
+    accept(listener, desk, budget, ports.log.clone())
+}
+
+async fn accept(listener: Rc<dyn Listener>, desk: Rc<Desk>, budget: Budget, log: Rc<dyn Log>) {
+    let doors = &desk.doors;
     let house = House::new(budget.clients, budget.bodies);
     loop {
         let accepted = tokio::select! {
             biased;
-            () = doors.wait_for(|doors| doors == Doors::Shut) => break,
+            () = doors.wait_for(|doors| matches!(doors, Doors::Shut | Doors::Given)) => break,
+            // Who comes now waits for the next process, or for this one to go on.
+            () = doors.wait_for(|doors| doors == Doors::Giving) => {
+                doors.wait_for(|doors| doors != Doors::Giving).await;
+                continue;
+            }
             accepted = listener.accept() => accepted,
         };
         match accepted {
             Ok(stream) => {
                 let Some(seat) = house.seat().await else { break };
-                spawn_local(connection(stream, seat, host.clone(), doors.clone()));
+                spawn_local(connection(stream, seat, desk.clone()));
             }
             Err(e) => {
                 // Out of descriptors, say: what is open goes on, and closing makes room.
@@ -215,17 +242,10 @@
     house.empty().await;
 }
 
-async fn connection(
-    stream: Box<dyn Stream>,
-    seat: Arc<Seat>,
-    host: UnboundedSender<Input>,
-    doors: Latest<Doors>,
-) {
-    let at_door = doors.clone();
-    let at_table = seat.clone();
-    let service = service_fn(move |request| {
-        let (seat, host, doors) = (at_table.clone(), host.clone(), at_door.get());
-        async move { Ok::<_, Infallible>(respond(request, &seat, &host, doors).await) }
+async fn connection(stream: Box<dyn Stream>, seat: Arc<Seat>, desk: Rc<Desk>) {
+    let service = service_fn(|request| {
+        let (seat, desk) = (seat.clone(), desk.clone());
+        async move { Ok::<_, Infallible>(respond(request, &seat, &desk).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -240,31 +260,63 @@
         biased;
         _ = connection.as_mut() => return,
         () = seat.leave.notified() => return,
-        () = doors.wait_for(|doors| doors == Doors::Shut) => connection.as_mut().graceful_shutdown(),
+        () = desk.doors.wait_for(|doors| doors == Doors::Shut) => connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
 }
 
-async fn respond(
-    request: Request<Incoming>,
-    seat: &Seat,
-    host: &UnboundedSender<Input>,
-    doors: Doors,
-) -> Response<Full<Bytes>> {
+async fn respond(request: Request<Incoming>, seat: &Seat, desk: &Desk) -> Response<Full<Bytes>> {
+    let doors = desk.doors.get();
     let mut response = match (request.method(), request.uri().path()) {
+        (&Method::GET, "/-/ready") if matches!(doors, Doors::Giving | Doors::Given) => {
+            desk.pass_on(Method::GET, "/-/ready", &HeaderMap::new(), Bytes::new()).await
+        }
         (&Method::GET, "/-/ready") if doors == Doors::Open => plain(StatusCode::OK, "ready\n"),
         (&Method::GET, "/-/ready") => plain(StatusCode::SERVICE_UNAVAILABLE, "winding down\n"),
-        (&Method::POST, "/api") => hand_in(request, seat, host).await,
+        (&Method::POST, "/api") => hand_in(request, seat, desk).await,
         (_, "/-/ready" | "/api") => plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n"),
         _ => plain(StatusCode::NOT_FOUND, "not found\n"),
     };
     // Whoever sent what cannot be used is out of step, or about to send it again: it starts anew.
-    if doors != Doors::Open || response.status().is_client_error() {
+    if desk.doors.get() != Doors::Open || response.status().is_client_error() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
 
+impl Desk {
+    /// Passes a request on to the process that lets clients in by now, and its answer back.
+    async fn pass_on(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Response<Full<Bytes>> {
+        // Nobody has taken it on.
+        let refused = || plain(StatusCode::SERVICE_UNAVAILABLE, "not taken on\n");
+        let Ok(mut next) = Connection::open(&*self.network, self.at, PASSED_ON).await else {
+            return refused();
+        };
+        let kept = |name: &HeaderName| ![HOST, CONNECTION, CONTENT_LENGTH].contains(name);
+        let own = request(method, path, self.at).header(CONNECTION, "close");
+        let head = headers.iter().filter(|(name, _)| kept(name));
+        let head = head.fold(own, |head, (name, value)| head.header(name, value));
+        let answer = timeout(PASSED_ON, async {
+            let answer = next.send(head, body, None).await.ok()?;
+            let status = answer.status();
+            let body = Limited::new(answer.into_body(), MOST_ANSWER).collect().await.ok()?;
+            Some(plain(status, body.to_bytes()))
+        });
+        match answer.await {
+            Ok(Some(answer)) => answer,
+            _ if !next.request_written() => refused(),
+            // It may have been taken on: no promise.
+            _ => plain(StatusCode::BAD_GATEWAY, "the next process did not answer\n"),
+        }
+    }
+}
+
 /// An answer of plain text.
 pub fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(text.into()));
@@ -294,11 +346,7 @@
     Ok(whole.into())
 }
 
-async fn hand_in(
-    request: Request<Incoming>,
-    seat: &Seat,
-    host: &UnboundedSender<Input>,
-) -> Response<Full<Bytes>> {
+async fn hand_in(request: Request<Incoming>, seat: &Seat, desk: &Desk) -> Response<Full<Bytes>> {
     let came = Instant::now();
     let (head, body) = request.into_parts();
     // Beside a length, a coding may hide another request in the body, and hyper does not show the length
@@ -311,7 +359,7 @@
         Ok(Err(answer)) => return answer,
         Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
     };
-    let (message, remaining) = match read(&head.headers, body) {
+    let (message, remaining) = match read(&head.headers, body.clone()) {
         Ok(read) => read,
         Err(what) => return plain(StatusCode::BAD_REQUEST, format!("{what}\n")),
     };
@@ -320,8 +368,16 @@
         return plain(StatusCode::SERVICE_UNAVAILABLE, "not taken on\n");
     }
     let (answer, answered) = oneshot::channel();
-    let _ = host.send(Input::HandIn { message, deadline: came + remaining, answer });
-    let answer = answered.await;
+    let _ = desk.host.send(Input::HandIn { message, deadline: came + remaining, answer });
+    let answer = match answered.await {
+        // A host that gave up its place took nothing on.
+        Err(_) if matches!(desk.doors.get(), Doors::Giving | Doors::Given) => {
+            let passed_on = desk.pass_on(Method::POST, "/api", &head.headers, body).await;
+            seat.rest();
+            return passed_on;
+        }
+        answer => answer,
+    };
     seat.rest();
     match answer {
         Ok(Answer::TakenOn) => plain(StatusCode::ACCEPTED, ""),
--- a/src/daemon/system.rs
+++ b/src/daemon/system.rs
@@ -5,6 +5,7 @@
 use std::io::{self, Seek, SeekFrom, Write};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::path::PathBuf;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -44,6 +45,12 @@
     fn listen(&self, at: SocketAddr) -> LocalFuture<'_, io::Result<Box<dyn Listener>>> {
         Box::pin(async move { Ok(Box::new(TcpListener::bind(at).await?) as Box<dyn Listener>) })
     }
+
+    fn adopt(&self, listener: OwnedFd) -> io::Result<Box<dyn Listener>> {
+        let listener = std::net::TcpListener::from(listener);
+        listener.set_nonblocking(true)?;
+        Ok(Box::new(TcpListener::from_std(listener)?))
+    }
 }
 
 fn opened(stream: TcpStream) -> io::Result<Box<dyn Stream>> {
@@ -59,6 +66,10 @@
     fn local_addr(&self) -> io::Result<SocketAddr> {
         TcpListener::local_addr(self)
     }
+
+    fn as_fd(&self) -> Option<BorrowedFd<'_>> {
+        Some(AsFd::as_fd(self))
+    }
 }
 
 impl Stream for TcpConnection {
--- a/src/decision/line.rs
+++ b/src/decision/line.rs
@@ -29,7 +29,7 @@
 const SHUT_WAIT: f64 = 2.0;
 
 /// State of a line. Only sends that `rule_return` lets through reach one that is not `Up`.
-#[derive(Clone, Copy, PartialEq, Default)]
+#[derive(Clone, Copy, PartialEq, Default, serde::Serialize, serde::Deserialize)]
 pub(crate) enum Health {
     #[default]
     Up,
@@ -40,7 +40,7 @@
 }
 
 /// What time alone changes of a line, as it was at a moment; later states are worked out when asked for.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, serde::Serialize, serde::Deserialize)]
 pub(crate) struct Flow {
     pub(super) at: Time,
     pub(crate) health: Health,
@@ -127,14 +127,14 @@
     }
 }
 
-#[derive(Clone, Default)]
+#[derive(Clone, Default, serde::Serialize, serde::Deserialize)]
 pub(crate) struct Line {
-    pub(super) destination: DestinationId,
-    pub(super) endpoint: Option<EndpointId>,
+    pub(crate) destination: DestinationId,
+    pub(crate) endpoint: Option<EndpointId>,
     pub(crate) told_until: Time,
     pub(super) hold_until: Time,
     pub(super) flow: Flow,
-    /// As it was last worked out.
+    #[serde(skip)] // as it was last worked out
     seen: Cell<Flow>,
     streak: u32,
     /// When two calls in a row failed last: single ones are chance, as a spoilt answer or a reset is.
@@ -142,8 +142,8 @@
     fulls: u32,
     pub(super) latency: f64,
     deviation: f64,
-    /// Calls that are out, oldest first.
-    pub(super) out: BTreeMap<u64, Time>,
+    #[serde(skip)] // calls that are out, oldest first
+    pub(crate) out: BTreeMap<u64, Time>,
     pub(super) last_answer: Time,
     last_success: Time,
     limit: f64,
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -54,8 +54,8 @@
     unfinished: bool,
     /// Ended, with the notice still open: until then the key is not free.
     unnoticed: FxHashMap<MessageId, (OrderKey, u64)>,
-    /// When the process ends, once it winds down.
-    ends_at: Option<Time>,
+    /// When the process ends, and whether the next one takes its place.
+    ends_at: Option<(Time, bool)>,
     woken_at: Option<Time>,
     ask_list_at: Option<Time>,
     list_failures: u32,
@@ -172,7 +172,8 @@
                     self.leave_key(*id, place, key);
                 }
             }
-            Event::WindDown(end) => self.ends_at = Some(*end),
+            Event::WindDown(end) => self.ends_at = Some((*end, false)),
+            Event::HandOver(end) => self.ends_at = Some((*end, true)),
             Event::Settings(settings) => self.settle(settings, actions),
             Event::Ended { .. } => self.ended(event, actions),
             Event::Withdrawn(id) => self.withdrawn(*id),
@@ -234,7 +235,6 @@
         self.wait(shared.or(own), wait);
     }
 
-    /// A line has told a wait.
     fn wait(&mut self, line: Option<usize>, wait: Span) {
         let Some(line) = line.map(|place| self.directory.line_mut(place)) else { return };
         line.told_until = line.told_until.max(Time(self.now.0 + wait.0));
@@ -243,7 +243,8 @@
     /// Whether a message for `destination` may be taken on: there is room beside the `held` ones and time to
     /// deliver it, and the list names the destination, or did until a short while ago.
     pub fn admits(&self, now: Time, held: usize, destination: DestinationId) -> bool {
-        let time = self.ends_at.is_none_or(|end| now.0 + self.settings.connect_timeout.0 < end.0);
+        let late = Time(now.0 + self.settings.connect_timeout.0);
+        let time = self.ends_at.is_none_or(|(end, succeeded)| succeeded || late < end);
         held < self.settings.most_held && time && self.directory.destination(destination).is_some()
     }
 
--- a/src/decision/turns.rs
+++ b/src/decision/turns.rs
@@ -41,7 +41,7 @@
     pub(super) fn ends_before_process(&self, line: &Line) -> bool {
         let known = if line.latency > 0.0 { line.slowest(line::OVERDUE_DEVS) } else { 0.0 };
         let answer = known.max(self.settings.period.0 as f64);
-        self.ends_at.is_none_or(|end| after(self.now, answer) < end)
+        self.ends_at.is_none_or(|(end, _)| after(self.now, answer) < end)
     }
 
     /// How long an attempt may take.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -31,11 +31,11 @@
 pub struct MessageId(pub u32);
 
 /// A destination: the firm's system that a message is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct DestinationId(pub u64);
 
 /// An endpoint, interned by the host in the order in which it first heard of them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointId(pub u32);
 
 /// What an ordered message is about: messages of one key go out one at a time.
@@ -338,6 +338,9 @@
     Noticed(MessageId),
     /// The process ends then: what cannot end before is left for the next one.
     WindDown(Time),
+    /// The next process takes this one's place then, and all that is held: no call outlasts it, and messages go on being
+    /// taken on.
+    HandOver(Time),
     /// From now on these settings hold. Classes keep their numbers; kinds, zones and the sender's own are as before.
     Settings(Box<Settings>),
     /// An attempt has ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,3 +45,4 @@
 
 pub use decision::Sender;
 pub use interface::*;
+pub use observe::Learned;
--- a/src/main.rs
+++ b/src/main.rs
@@ -57,6 +57,7 @@
         network: Rc::new(Tcp),
         storage: Rc::new(Folder(variable("PROXY_STATE")?)),
         log: Rc::new(StandardError),
+        handover: Some(variable("PROXY_STATE")?),
     };
     let (to_daemon, signals) = unbounded_channel();
     spawn_local(async move {
--- a/src/observe.rs
+++ b/src/observe.rs
@@ -1,7 +1,8 @@
-//! What others may read of the decision module. Nothing here decides.
+//! What others may read of the decision module, and what the next process takes up of it. Nothing here decides.
 use crate::decision::Sender;
 use crate::decision::line::{Health, Line};
 use crate::{EndpointId, Listing, Time};
+use serde::{Deserialize, Serialize};
 
 impl Sender {
     /// Whether nothing is sent to an endpoint at `now`, or nothing but a trial.
@@ -13,3 +14,32 @@
         at.listing != Listing::Active || self.directory.lines(at).any(shut)
     }
 }
+
+/// What was learned of one line: of a route, or of a destination whose endpoints share a limit.
+#[derive(Clone, Serialize, Deserialize)]
+pub struct Learned(Line);
+
+impl Sender {
+    /// What was learned of an endpoint's own line, and of the one that it shares, for the next process.
+    pub fn learned(&self, endpoint: EndpointId) -> [Option<Learned>; 2] {
+        let places = self.directory.endpoint(endpoint).map_or([None; 2], |at| self.directory.places(at));
+        places.map(|place| {
+            let mut line = self.directory.line(place?).clone();
+            // Calls that are out end with their process.
+            line.out.clear();
+            Some(Learned(line))
+        })
+    }
+
+    /// Takes up what an earlier process learned of an endpoint that the list has named by now.
+    pub fn take_up(&mut self, endpoint: EndpointId, learned: [Option<Learned>; 2]) {
+        let places = self.directory.endpoint(endpoint).map_or([None; 2], |at| self.directory.places(at));
+        for (place, learned) in places.into_iter().zip(learned) {
+            if let (Some(place), Some(Learned(mut line))) = (place, learned) {
+                let own = self.directory.line_mut(place);
+                (line.destination, line.endpoint) = (own.destination, own.endpoint);
+                *own = line;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/sockets/handover.rs
@@ -0,0 +1,129 @@
+//! A next process that takes the place of the one at work.
+use super::world::*;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, UnixStream};
+use tokio::time::{Instant, timeout};
+
+/// Guards against a place that is given with messages lost, doubled or out of order, a told wait or an endpoint out by
+/// hand forgotten, and a client of the old process that finds nobody.
+#[tokio::test]
+async fn a_next_process_takes_the_place_with_all_that_is_owed() {
+    let (mut first, mut second, platform) =
+        (Peer::start().await, Peer::start().await, Platform::start().await);
+    let members = [
+        member("s-1", first.address, "batching", "SERVING"),
+        member("s-2", second.address, "batching", "SERVING"),
+    ];
+    let mut node = Node::start(&platform, &members).await;
+    // s-2 is told to wait for longer than the handover takes; then s-1 alone is in service, and k1 out to it.
+    assert_eq!(node.operator("POST /maintenance/enter", "s-1").await.status(), 200);
+    assert_eq!(node.hand_in("told", "keyed", "").await.status(), 202);
+    let told = Instant::now();
+    second.call().await.reply(answer("429 Too Many Requests", "Retry-After: 4\r\n", ""));
+    node.figures_where("both are avoided", |f| f["hosts_down"] == 2).await;
+    for id in ["k1", "k2", "k3"] {
+        assert_eq!(node.hand_in(id, "ordered", "k").await.status(), 202);
+    }
+    let mut at_rest = TcpStream::connect(node.address).await.unwrap();
+    at_rest.write_all(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+    assert_eq!(Http::read(&mut at_rest).await.unwrap().status(), 200);
+    let mut old = node.replace().await;
+    assert!(
+        first.quiet(Duration::from_millis(50)).await,
+        "work for what is out by hand, in the next process"
+    );
+    assert_eq!(node.operator("GET /status", "").await.status(), 200);
+    assert_eq!(old.operator("GET /status", "").await.status(), 503);
+    // A client that is still connected to the old process is passed on, and sent elsewhere.
+    at_rest
+        .write_all(
+            b"POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: late\r\nX-Lane: keyed\r\nX-Remaining: 30\r\n\
+              X-Envelope: dest=7\r\nIdempotency-Key: i\r\nContent-Length: 4\r\n\r\nlate",
+        )
+        .await
+        .unwrap();
+    let passed_on = Http::read(&mut at_rest).await.expect("an answer from the next process");
+    assert_eq!((passed_on.status(), passed_on.header("connection")), (202, Some("close")));
+    assert_eq!(node.hand_in("k4", "ordered", "k").await.status(), 202);
+    assert!(old.ends_well().await, "with its last client gone it ends by itself");
+    let mut delivered = Vec::new();
+    while delivered.len() < 6 {
+        let call = second.call().await;
+        assert!(told.elapsed() >= Duration::from_secs(4), "the wait was told to both");
+        let mut ids: Vec<String> = match call.http.header("x-txn") {
+            Some(id) => vec![id.to_owned()],
+            None => {
+                let items = call.http.json();
+                items.as_array().unwrap().iter().map(|i| i["id"].as_str().unwrap().to_owned()).collect()
+            }
+        };
+        let ends: Vec<_> = ids.iter().map(|id| serde_json::json!({"id": id, "state": "ok"})).collect();
+        call.reply(answer("200 OK", "", &serde_json::json!(ends).to_string()));
+        delivered.append(&mut ids);
+    }
+    let of_key: Vec<_> = delivered.iter().filter(|id| id.starts_with('k')).collect();
+    assert_eq!(of_key, ["k1", "k2", "k3", "k4"]);
+    delivered.sort();
+    assert_eq!(delivered, ["k1", "k2", "k3", "k4", "late", "told"]);
+    assert!(second.quiet(Duration::from_millis(300)).await, "a message went out twice");
+}
+
+/// Guards against a call that is out when the place is given, and out a second time while it is open.
+#[tokio::test]
+async fn a_call_that_outlasts_the_handover_is_closed_before_it_goes_again() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    assert_eq!(node.hand_in("slow", "keyed", "").await.status(), 202);
+    let out = endpoint.call().await;
+    let mut old = node.replace().await;
+    assert!(old.ends_well().await);
+    let again = endpoint.call().await;
+    assert_eq!((again.id(), again.http.header("idempotency-key")), ("slow", Some("idem-slow")));
+    assert_ne!(again.connection, out.connection);
+    again.ok();
+    node.figures_where("delivered once", |f| f["calls"]["keyed"]["success"] == 1).await;
+}
+
+/// Guards against a sender that is left with nobody at work: the next process ends at any point of the handover, or who
+/// calls is none.
+#[tokio::test]
+async fn a_next_process_that_ends_on_the_way_leaves_the_old_one_at_work() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    let socket = node.journal().with_file_name("handover.sock");
+    while !socket.exists() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    for (n, hello) in
+        ["", "micadrum", "micadrum handover 9", "GET / HTTP/1.1\r\n\r\n....."].iter().enumerate()
+    {
+        let mut stranger = UnixStream::connect(&socket).await.unwrap();
+        stranger.write_all(hello.as_bytes()).await.unwrap();
+        assert_eq!(node.hand_in(&format!("s{n}"), "keyed", "").await.status(), 202);
+        endpoint.call().await.ok();
+    }
+    // It ends before it reads, after the length that brings the listening socket, or after some of the rest.
+    for (n, reads) in [vec![], vec![8], vec![8, 56]].into_iter().enumerate() {
+        let mut next = UnixStream::connect(&socket).await.unwrap();
+        next.write_all(b"micadrum handover 1").await.unwrap();
+        for bytes in reads {
+            let read = timeout(PATIENCE, next.read_exact(&mut vec![0; bytes])).await;
+            read.expect("what the old process leaves").unwrap();
+        }
+        drop(next);
+        let id = format!("m{n}");
+        let mut tries = 0;
+        // Until the old process is at work again, clients wait or are refused.
+        while node.hand_in(&id, "keyed", "").await.status() != 202 {
+            tries += 1;
+            assert!(tries < 100, "nobody took {id} on");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let call = endpoint.call().await;
+        assert_eq!(call.id(), id);
+        call.ok();
+    }
+    let figures = node.figures_where("all delivered", |f| f["inflight"] == 0).await;
+    assert!(figures["hosts_listed"] == 1, "{figures}");
+}
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -3,6 +3,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -211,7 +212,7 @@
 
 /// A sender's folder and what it is told; `process` is there while it runs.
 pub struct Node {
-    folder: TempDir,
+    folder: Rc<TempDir>,
     config: Value,
     process: Option<Child>,
     pub address: SocketAddr,
@@ -248,7 +249,7 @@
         });
         change(&mut config);
         let mut node = Self {
-            folder: tempfile::tempdir().unwrap(),
+            folder: Rc::new(tempfile::tempdir().unwrap()),
             config,
             process: None,
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
@@ -273,8 +274,8 @@
         let (told, address) = oneshot::channel();
         std::thread::spawn(move || {
             let mut after = |what| log.find_map(|line| Some(line.split_once(what)?.1.to_owned()));
-            let listens = after("listening on ").zip(after("operators: listening on "));
-            let _ = told.send(listens);
+            let operators = after("operators: listening on ");
+            let _ = told.send(after("listening on ").zip(operators));
             // Read on, so that the process never waits for room in the pipe.
             log.for_each(|line| println!("sender: {line}"));
         });
@@ -283,6 +284,19 @@
         (self.address, self.management) = (clients.parse().unwrap(), operators.parse().unwrap());
     }
 
+    /// Starts a next process beside this one, which takes its place: from then on this stands for it. The old one.
+    pub async fn replace(&mut self) -> Node {
+        let old = Node {
+            folder: self.folder.clone(),
+            config: self.config.clone(),
+            process: self.process.take(),
+            ..*self
+        };
+        self.begin().await;
+        assert_eq!(self.address, old.address, "clients come where they came before");
+        old
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
             process.kill().unwrap();
