--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -292,16 +292,33 @@
             if let Some((successor, _)) =
                 self.successor.take_if(|(_, end)| now >= *end || self.calls.is_empty())
             {
-                return Some(self.give_up(successor).await);
+                return Some(self.give_up(successor, inputs).await);
             }
         }
     }
 
     /// Ends with all calls closed and the journal as it is; from here on nothing is taken in.
-    async fn give_up(mut self, successor: Successor) -> Legacy {
+    async fn give_up(mut self, successor: Successor, inputs: &mut UnboundedReceiver<Input>) -> Legacy {
         self.doors.set(Doors::Giving);
         self.tasks.shutdown().await;
         sleep(CLOSING).await;
+        // What has come to its end by now is booked and learned from: a wait that was told binds the next process
+        // too. Who hands in a message is passed on; the rest is not this host's any more.
+        let mut left = Vec::new();
+        while let Ok(input) = inputs.try_recv() {
+            match input {
+                Input::Called(_) | Input::Noticed(_) | Input::Targets(_) => self.take_in(input),
+                Input::HandIn { .. } | Input::Connected { .. } | Input::Idle(..) | Input::Successor(_) => {}
+                Input::WindDown | Input::Reload(_) | Input::Operator(_) => left.push(input),
+            }
+        }
+        for input in left {
+            let _ = self.outside.host.send(input);
+        }
+        // No call is begun that would end after now: none at all.
+        let now = self.now();
+        self.pending.push((now, Event::HandOver(now)));
+        self.step();
         self.picture = None;
         let figures = Figures { inflight: 0, ..(*self.picture()).clone() };
         let known = || self.endpoints.iter();
--- a/tests/sockets/handover.rs
+++ b/tests/sockets/handover.rs
@@ -127,3 +127,27 @@
     let figures = node.figures_where("all delivered", |f| f["inflight"] == 0).await;
     assert!(figures["hosts_listed"] == 1, "{figures}");
 }
+
+/// Guards against a wait that is told by the last answer before the place is given, and that nobody keeps.
+#[tokio::test]
+async fn a_wait_told_while_the_old_process_settles_is_kept() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    let socket = node.journal().with_file_name("handover.sock");
+    while !socket.exists() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(node.hand_in("told", "keyed", "").await.status(), 202);
+    let call = endpoint.call().await;
+    let mut next = UnixStream::connect(&socket).await.unwrap();
+    next.write_all(b"micadrum handover 1").await.unwrap();
+    // By now it settles, for as long as this call is out.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let told = Instant::now();
+    call.reply(answer("429 Too Many Requests", "Retry-After: 3\r\n", ""));
+    timeout(PATIENCE, next.read_exact(&mut [0; 8])).await.expect("a place that is given").unwrap();
+    drop(next);
+    let call = endpoint.call().await;
+    assert!(told.elapsed() >= Duration::from_secs(3), "after {:?}", told.elapsed());
+    call.ok();
+}
