--- a/tests/sockets/handover.rs
+++ b/tests/sockets/handover.rs
@@ -132,7 +132,10 @@
 #[tokio::test]
 async fn a_wait_told_while_the_old_process_settles_is_kept() {
     let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
-    let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    // The next step is far away, so that the answer and the end of the settling fall between two.
+    let slow = |config: &mut serde_json::Value| config["settings"]["period"] = serde_json::json!(500_000);
+    let member = member("s-1", endpoint.address, "single", "SERVING");
+    let node = Node::start_with(&platform, &[member], slow).await;
     let socket = node.journal().with_file_name("handover.sock");
     while !socket.exists() {
         tokio::time::sleep(Duration::from_millis(10)).await;
