Discovery is asked from the known revision, spread over the fleet, ever less often in vain

At the start all asked for the whole list at once, were answered 503 after 2 s, and asked again every 50 ms (counted across the fleet by the new trace of calls: 120 to 160 failed calls in two seconds, none answered from 2 s to 14 s; after the release none at all, so replaced endpoints were called until the end). Ruled out: a fault of the agent alone, as those answered first stayed subscribed throughout.

Change: the watch begins from the revision of the configuration's list, the first call at a moment drawn over 50 ms a sender, and pauses after failures double up to 100 ms a sender (3 senders: as before within a factor of two). A trace of calls (MICADRUM_TRACE=calls) for counts over a fleet.

--- a/crates/micadrum-rehearsal/src/sim/mod.rs
+++ b/crates/micadrum-rehearsal/src/sim/mod.rs
@@ -89,6 +89,7 @@
                 storage: Rc::new(ProcessFolder { disk: node.disk.clone(), process: process.clone() }),
                 log: Rc::new(SimLog { sender, origin: self.origin, shown: self.show_logs }),
                 handover: None,
+                trace: false,
             };
             let (signals, from_world) = unbounded_channel();
             let ended = Rc::<Ended>::default();
--- a/src/daemon/discovery.rs
+++ b/src/daemon/discovery.rs
@@ -1,4 +1,5 @@
 //! The list of endpoints: an unbroken watch on the agent of this machine.
+use super::asking::Asking;
 use super::connection::{CallError, Connection, request};
 use super::input::Input;
 use super::latest::Latest;
@@ -16,8 +17,6 @@
 const HOLD: Duration = Duration::from_secs(5);
 /// An answer that takes this much longer than it may wait does not come any more.
 const PATIENCE: Duration = Duration::from_secs(1);
-/// Pause after a failed call: well inside the 200 ms within which a watch goes on.
-const PAUSE: Duration = Duration::from_millis(50);
 /// No list is longer.
 const MOST_BYTES: usize = 2 << 20;
 
@@ -35,12 +34,26 @@
     Json(#[from] serde_json::Error),
 }
 
-/// Watches the list at the agent's present address, for as long as the host listens. Every agent is asked
-/// for the whole list first: its revisions need not follow another's, nor those of an earlier process.
-pub async fn watch(agents: Latest<SocketAddr>, host: UnboundedSender<Input>, ports: Ports) {
-    let mut revision = None;
+/// Watches the list at the agent's present address, for as long as the host listens, first from the revision that is
+/// `known`, if any: the whole list is much, and asked of discovery by all who start together. An agent at another
+/// address is asked for the whole list: its revisions need not follow those of the one before.
+pub async fn watch(
+    agents: Latest<SocketAddr>,
+    known: Option<u64>,
+    mut asking: Asking,
+    host: UnboundedSender<Input>,
+    ports: Ports,
+) {
+    let mut revision = known;
     let mut connection = None;
     let mut failing = false;
+    if known.is_some() {
+        let agent = agents.get();
+        tokio::select! {
+            () = agents.wait_for(|address| address != agent) => revision = None,
+            () = sleep(asking.first()) => {}
+        }
+    }
     loop {
         let agent = agents.get();
         let answer = tokio::select! {
@@ -54,6 +67,7 @@
         match answer.unwrap_or(Err(WatchError::Silent)) {
             Ok(targets) => {
                 failing = false;
+                asking.answered();
                 revision = Some(targets.revision);
                 if host.send(Input::Targets(targets)).is_err() {
                     return;
@@ -66,7 +80,11 @@
                 }
                 failing = true;
                 connection = None;
-                sleep(PAUSE).await;
+                // It may be at another address by then.
+                tokio::select! {
+                    () = agents.wait_for(|address| address != agent) => {}
+                    () = sleep(asking.failed()) => {}
+                }
             }
         }
     }
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -16,6 +16,7 @@
 use super::shape::Shape;
 use super::store::{Attempt, End, Handed, Owed, Store, StoreError};
 use super::targets::{Member, Phase, Targets};
+use super::trace::{self, Trace};
 use crate::profile::{Names, Profile};
 use crate::{
     Action, ClassId, DestinationId, EndpointId, Entry, Event, Listing, Message, MessageId, OrderKey, Outcome,
@@ -148,6 +149,7 @@
     doors: Latest<Doors>,
     outside: Outside,
     notices: UnboundedSender<Notice>,
+    trace: Trace,
 }
 
 /// The ends of the channels that a host works with.
@@ -242,6 +244,7 @@
             tasks: JoinSet::new(),
             config: config.clone(),
             doors: links.doors,
+            trace: Trace::new(ports.trace, ports.log.clone()),
             outside: Outside {
                 ports,
                 fields,
@@ -365,6 +368,9 @@
             Input::Called(called) => self.called(called),
             Input::Connected { endpoint, messages, may_begin } => {
                 let now = self.now();
+                if let Some(at) = self.endpoints.get(&endpoint) {
+                    self.trace.connect(now, at.member.cell, &at.member.id);
+                }
                 let ok = messages.iter().all(|n| self.sender.may_begin(now, MessageId(*n), endpoint));
                 let _ = may_begin.send(ok);
             }
@@ -548,6 +554,7 @@
         let held = self.numbers.len() - self.unnoticed;
         if !self.sender.admits(now, held, known.destination) {
             self.figures.refused(&owed.message.class);
+            self.trace.ended(now, owed.message.destination, "door");
             return Answer::Refused;
         }
         let class = owed.message.class.clone();
@@ -556,6 +563,7 @@
             Ok(number) => {
                 known.id = MessageId(number);
                 self.numbers.insert(id, number);
+                self.trace.taken(now, known.destination.0);
                 self.pending.push((now, Event::Message(known)));
                 Answer::TakenOn
             }
@@ -623,6 +631,19 @@
     fn called(&mut self, called: Called) {
         let at = self.clock.at(called.at);
         let sent = self.calls.remove(&called.number).unwrap_or(at);
+        if let (Some(at_end), Some((_, outcome, _))) =
+            (self.endpoints.get(&called.endpoint), called.ends.first())
+        {
+            let ended = trace::Ended {
+                destination: at_end.member.cell,
+                endpoint: &at_end.member.id,
+                messages: called.ends.len(),
+                outcome: *outcome,
+                elapsed: Span(at.0.saturating_sub(sent.0)),
+                report: called.report,
+            };
+            self.trace.call(at, &ended);
+        }
         let heeded = called.ends.iter().any(|(_, outcome, _)| matches!(outcome, Outcome::Full(Some(_))));
         self.ended(sent, at, called.ends, called.report);
         if let Some(wait) = called.wait.filter(|_| !heeded) {
@@ -657,6 +678,7 @@
     }
 
     fn targets(&mut self, targets: Targets) {
+        self.trace.list(self.now(), &targets);
         let mut entries = Vec::with_capacity(targets.members.len());
         for member in targets.members {
             let kind = self.names.kinds.get(&member.flavor);
@@ -802,6 +824,8 @@
         let Some(owed) = self.store.get(number) else { return };
         let id = owed.message.id.clone();
         self.figures.ended(&owed.message.class, end);
+        let how = if matches!(end, End::Failed) { "failed" } else { "returned" };
+        self.trace.ended(self.now(), owed.message.destination, how);
         let booked = self.store.end(number, end);
         self.booked(booked);
         self.unnoticed += 1;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! It runs on one thread inside a [`tokio::task::LocalSet`]; whoever drops that ends all of its tasks. What it
 //! needs of the machine comes through [`ports`].
+mod asking;
 mod budget;
 mod call;
 mod classes;
@@ -24,7 +25,9 @@
 mod store;
 pub mod system;
 pub mod targets;
+mod trace;
 
+use asking::Asking;
 use budget::Budget;
 use config::Config;
 use figures::Figures;
@@ -138,9 +141,13 @@
         let links =
             Links { inputs: inputs.clone(), notices, doors: doors.clone(), platform: platform.clone() };
         let start = Start { config: config.clone(), shape: shape.clone(), seed, inheritance, figures };
+        // What a process before had may be newer than the file, and tells no revision.
+        let known = start.inheritance.is_none().then_some(config.known.revision);
         let host = Host::new(start, store, links, budget, ports.clone()).map_err(StartError::Settings)?;
         let mut with_platform = JoinSet::new();
-        with_platform.spawn_local(discovery::watch(platform.clone(), inputs.clone(), ports.clone()));
+        let asking = Asking::new(config.settings.senders(), seed);
+        let watch = discovery::watch(platform.clone(), known, asking, inputs.clone(), ports.clone());
+        with_platform.spawn_local(watch);
         with_platform.spawn_local(notices::run(platform.clone(), queue, inputs.clone(), ports.clone()));
         // Only now: a sender that can be reached has taken up what it owes.
         let Place { listener, mut server } = match place.take() {
--- a/src/daemon/ports.rs
+++ b/src/daemon/ports.rs
@@ -135,4 +135,6 @@
     pub log: Rc<dyn Log>,
     /// The folder in which processes of one sender find each other, where they can.
     pub handover: Option<PathBuf>,
+    /// Whether each call is to be told of in the log.
+    pub trace: bool,
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,7 +14,8 @@
 /// One sender: takes messages on from clients and delivers them to endpoints.
 ///
 /// It reads its configuration from the file that PROXY_CONFIG names, and keeps what outlasts it in the folder that
-/// PROXY_STATE names. SIGHUP reads the configuration again, SIGTERM winds it down.
+/// PROXY_STATE names. SIGHUP reads the configuration again, SIGTERM winds it down. With MICADRUM_TRACE=calls it logs
+/// a line a call.
 #[derive(Parser)]
 #[command(name = "micadrum", version)]
 struct Arguments {}
@@ -58,6 +59,7 @@
         storage: Rc::new(Folder(variable("PROXY_STATE")?)),
         log: Rc::new(StandardError),
         handover: Some(variable("PROXY_STATE")?),
+        trace: std::env::var_os("MICADRUM_TRACE").is_some_and(|what| what == "calls"),
     };
     let (to_daemon, signals) = unbounded_channel();
     spawn_local(async move {
