Pace by an equal part of a partner's told limit; trials by what a returning one could take

Change: where a limit is told a line's pace keeps to its equal part, more by the square of what is left, and half of it after a refusal; what the limit explains is no outage; trials come at the rate that the ramp begins with, where they cost no message; one endpoint back means that its neighbours are tried. The arithmetic moved to src/pacing.

--- a/src/decision/line.rs
+++ b/src/decision/line.rs
@@ -1,12 +1,11 @@
 //! Lines: what is learned of one route, or of one destination whose endpoints share a limit.
 
 use super::*;
-use crate::index::worth::mean_rate;
+use crate::pacing::flow::RATE_S;
+use crate::pacing::{Bounds, Flow, Health, trial_rate};
 use std::cell::Cell;
 use std::collections::BTreeMap;
 
-/// Time over which a line's own rate is averaged, in seconds: longer than a burst, shorter than an outage.
-pub(super) const RATE_S: f64 = 4.0;
 /// Weight of one more observation in a learned mean.
 const LEARN: f64 = 0.2;
 /// A call is overdue this many mean deviations past the mean.
@@ -17,115 +16,12 @@
 const OUTAGE_SHARE: f64 = 0.65;
 /// Sending rate left after a refusal above the limit, as a share of what got through.
 const SLOW_DOWN: f64 = 0.8;
-/// Growth of that rate per second while nothing is refused.
-const SPEED_UP: f64 = 0.25;
-/// A returning line is sent at most this share of what the recovery rule allows (others return too).
-const RETURN_SHARE: f64 = 0.9;
-/// Seconds of the pace that may be sent at once on a healthy line.
-const BURST_S: f64 = 0.5;
 /// First own pause of a line after a refusal without a told wait, as a share of `fall`; doubled each time.
 const PAUSE_OF_FALL: f64 = 0.25;
 /// A told wait of this many `fall`s is no limit's: the line is shut.
 const SHUT_WAIT: f64 = 2.0;
-
-/// State of a line. Only sends that `rule_return` lets through reach one that is not `Up`.
-#[derive(Clone, Copy, PartialEq, Default, serde::Serialize, serde::Deserialize)]
-pub(crate) enum Health {
-    #[default]
-    Up,
-    /// In an outage: one call at a time, not before this.
-    Down(Time),
-    /// Answering again since: paced by the recovery rule's ramp.
-    Returning(Time),
-}
-
-/// What time alone changes of a line, as it was at a moment; later states are worked out when asked for.
-#[derive(Clone, Copy, Default, serde::Serialize, serde::Deserialize)]
-pub(crate) struct Flow {
-    pub(super) at: Time,
-    pub(crate) health: Health,
-    pub(super) failing: f64,
-    pub(super) rate: f64,
-    pub(super) pace: f64,
-    pub(super) tokens: f64,
-}
-
-impl Flow {
-    /// The state at `now`.
-    fn at(mut self, now: Time, limit: f64, s: &Settings) -> Self {
-        // What is not seen again is forgotten.
-        self.failing *= (-seconds(since(now, self.at)) / seconds(s.rules.ramp.0.max(1))).exp();
-        if let Health::Returning(began) = self.health {
-            let end = Time(began.0 + s.rules.ramp.0);
-            let (from, to) = (self.at.max(began), now.min(end));
-            self.tokens = (self.tokens + self.earned(from, to, began, limit, s)).min(1.0);
-            if now >= end {
-                (self.health, self.at) = (Health::Up, self.at.max(end));
-            }
-        }
-        let dt = seconds(since(now, self.at));
-        match self.health {
-            Health::Returning(_) => {}
-            _ if self.pace.is_infinite() => self.tokens = f64::INFINITY,
-            Health::Up => {
-                let grown = (SPEED_UP * dt).exp();
-                self.tokens += self.pace * (grown - 1.0) / SPEED_UP;
-                self.pace *= grown;
-                self.tokens = self.tokens.min((self.pace * BURST_S).max(1.0));
-            }
-            Health::Down(_) => {
-                self.tokens = (self.tokens + self.pace * dt).min((self.pace * BURST_S).max(1.0));
-            }
-        }
-        if self.health == Health::Up {
-            self.rate *= (-dt / RATE_S).exp();
-        }
-        self.at = self.at.max(now);
-        self
-    }
-
-    /// Calls a second that this sender alone may add to a line coming back: its share of what the line took
-    /// before, times what the rule allows at this point of the ramp, which grows evenly ...
-    fn ramp_rate(&self, now: Time, began: Time, limit: f64, s: &Settings) -> f64 {
-        let r = &s.rules;
-        let warm = since(now, began) as f64 / r.ramp.0.max(1) as f64;
-        let share = r.cold_share + (1.0 - r.cold_share) * warm.min(1.0);
-        let equal = limit / s.senders as f64 * SLOW_DOWN;
-        let usual = self.rate.max(equal).max(1.0 / seconds(r.ramp.0).max(0.1));
-        usual * share * r.overload_factor * RETURN_SHARE
-    }
-
-    /// ... but no more than its pace, and at least one a `fall` between senders.
-    fn bounded(&self, rate: f64, s: &Settings) -> f64 {
-        rate.min(self.pace).max(trial_rate(s))
-    }
-
-    /// What that adds up to between two moments of the ramp.
-    fn earned(&self, from: Time, to: Time, began: Time, limit: f64, s: &Settings) -> f64 {
-        let [a, b] = [from, to].map(|at| self.ramp_rate(at, began, limit, s));
-        mean_rate(a, b, trial_rate(s), self.pace) * seconds(since(to, from))
-    }
-
-    /// No earlier than this a token is there, by time alone; the state is that of `now`.
-    fn token_at(&self, now: Time, limit: f64, s: &Settings) -> Time {
-        let missing = 1.0 - self.tokens;
-        if missing <= 0.0 {
-            return now;
-        }
-        let wait = match self.health {
-            Health::Up => (1.0 + SPEED_UP * missing / self.pace).ln() / SPEED_UP,
-            Health::Down(_) => missing / self.pace,
-            Health::Returning(began) => {
-                // The rate only grows: by that of now it takes longer, by that of then not as long.
-                let rate = |at| self.bounded(self.ramp_rate(at, began, limit, s), s);
-                let longest = after(now.max(began), missing / rate(now) * 1e6);
-                let end = seconds(since(Time(began.0 + s.rules.ramp.0), now));
-                (missing / rate(longest)).min(end)
-            }
-        };
-        after(now, (wait * 1e6 - 2.0).max(1.0))
-    }
-}
+/// Share of a limit that is left at which it explains no refusal.
+const ROOM_LEFT: f64 = 0.3;
 
 #[derive(Clone, Default, serde::Serialize, serde::Deserialize)]
 pub(crate) struct Line {
@@ -146,15 +42,16 @@
     pub(crate) out: BTreeMap<u64, Time>,
     pub(super) last_answer: Time,
     last_success: Time,
+    last_refusal: Time,
+    /// The limit as it was last told, over how many lines it goes, whether they wait for each other by it.
     limit: f64,
-}
-
-/// Calls a second that are safe towards anything: one a `fall` from all senders together, or the cold share
-/// of one message a ramp, as among many only those with a message waiting call.
-fn trial_rate(s: &Settings) -> f64 {
-    let equal = 1.0 / (s.senders as f64 * seconds(s.rules.fall.0).max(0.1));
-    let cold = s.rules.cold_share * s.rules.overload_factor * RETURN_SHARE;
-    equal.max(cold / seconds(s.rules.ramp.0).max(0.1))
+    #[serde(default)]
+    lines: usize,
+    /// The share of it that was then left.
+    #[serde(default)]
+    left: f64,
+    #[serde(default)]
+    gate: bool,
 }
 
 /// What a call's end tells of a line.
@@ -162,16 +59,26 @@
     pub(super) sent: Time,
     pub(super) outcome: Outcome,
     pub(super) report: Option<Report>,
-    /// Whether limits and told waits are this line's.
-    pub(super) gate: bool,
+    /// Lines over which the limit goes that the report tells.
+    pub(super) lines: usize,
     pub(super) losses: bool,
     pub(super) jitter: f64,
 }
 
 impl Line {
-    pub(super) fn new(destination: DestinationId, endpoint: Option<EndpointId>, hint: f64) -> Self {
+    /// `gate`: limits and told waits are this line's; a hint is of its limit.
+    pub(super) fn new(
+        destination: DestinationId,
+        endpoint: Option<EndpointId>,
+        gate: bool,
+        hint: f64,
+    ) -> Self {
         let flow = Flow { pace: f64::INFINITY, tokens: 1.0, ..Flow::default() };
-        Line { destination, endpoint, flow, limit: hint, ..Line::default() }
+        Line { destination, endpoint, flow, limit: hint, gate, ..Line::default() }
+    }
+
+    fn bounds(&self, s: &Settings) -> Bounds {
+        Bounds::new(self.limit, self.lines, self.gate, self.left, s)
     }
 
     /// What time changes of it, at `now`.
@@ -180,7 +87,7 @@
             return self.flow;
         }
         if self.seen.get().at != now {
-            self.seen.set(self.flow.at(now, self.limit, s));
+            self.seen.set(self.flow.at(now, &self.bounds(s), s));
         }
         self.seen.get()
     }
@@ -207,22 +114,19 @@
     pub(super) fn opens(&self, now: Time, s: &Settings) -> Time {
         let flow = self.flow(now, s);
         let trial = if let Health::Down(next) = flow.health { next } else { now };
-        self.told_until.max(self.hold_until).max(trial).max(flow.token_at(now, self.limit, s))
-    }
-
-    /// The pace that refusals never push below: half the known limit's equal part, and the rate of trials.
-    fn least_rate(&self, s: &Settings) -> f64 {
-        (self.limit / s.senders as f64 / 2.0).max(trial_rate(s))
+        self.told_until.max(self.hold_until).max(trial).max(flow.token_at(now, &self.bounds(s), s))
     }
 
     /// Learns from how a call on it ended; whether that closed it.
     pub(super) fn learn(&mut self, now: Time, s: &Settings, seen: &Seen) -> bool {
-        let &Seen { sent, outcome, report, gate, losses, jitter } = seen;
+        let &Seen { sent, outcome, report, lines, losses, jitter } = seen;
+        let gate = self.gate;
         let wait_end = if let Outcome::Full(Some(wait)) = outcome { after(now, wait.0 as f64) } else { now };
         self.flow = self.flow(now, s);
-        if let Some(report) = report.filter(|_| gate) {
-            self.limit = if report.limit > 0.0 { report.limit } else { self.limit };
+        if let Some(report) = report.filter(|report| report.limit > 0.0) {
+            (self.limit, self.lines, self.left) = (report.limit, lines, report.left);
         }
+        let bounds = self.bounds(s);
         let elapsed = since(now, sent) as f64;
         let fall = s.rules.fall.0 as f64;
         match outcome {
@@ -237,7 +141,10 @@
             _ => {}
         }
         let before = self.flow.health;
-        let least = self.least_rate(s);
+        // The pace that refusals never push below: half the known limit's equal part, and the rate of trials.
+        let least = (bounds.part / 2.0).max(trial_rate(s));
+        let limited = bounds.limited();
+        let calm = since(now, self.last_refusal) as f64 > RATE_S * 1e6;
         let flow = &mut self.flow;
         match outcome {
             Outcome::Cancelled | Outcome::Void => return false,
@@ -248,22 +155,36 @@
                 if let Health::Down(_) = flow.health {
                     (flow.health, flow.tokens) = (Health::Returning(now), 0.0);
                 }
+                if limited && bounds.most() < flow.pace {
+                    (flow.pace, flow.tokens) = (bounds.most(), flow.tokens.min(1.0));
+                } else if limited && calm {
+                    flow.pace += (bounds.most() - flow.pace) / 2.0;
+                }
             }
             Outcome::Full(wait) => {
                 self.fulls += 1;
+                self.last_refusal = now;
+                // What the limit explains says nothing of an outage.
+                let explained = limited && report.is_none_or(|report| report.left < ROOM_LEFT);
                 if wait.is_none() || !gate {
                     let pause =
                         fall * PAUSE_OF_FALL * f64::from(1 << (self.fulls.min(4) - 1)) * (0.5 + jitter);
                     self.hold_until = after(now, pause);
                 }
-                if gate {
+                if explained {
+                    // All who were refused together earn their next turns by chance apart.
+                    self.left = 0.0;
+                    flow.pace = flow.pace.min(bounds.refused());
+                    flow.tokens = flow.tokens.min(jitter - 0.5);
+                } else if gate {
                     // At the end of a told wait there is room; otherwise the next call waits its turn.
                     flow.pace = (flow.rate.min(flow.pace) * SLOW_DOWN).max(least);
                     flow.tokens = if wait.is_some() { flow.tokens.clamp(0.0, 1.0) } else { 0.0 };
                 }
                 // Refused and nothing else, or for longer than any limit's wait: shut, not busy. Who is told
                 // when it opens starts on the ramp then, by chance apart.
-                let shut = wait.is_some_and(|w| w.0 as f64 > SHUT_WAIT * fall) || self.fulls > OUTAGE_STREAK;
+                let many = self.fulls > OUTAGE_STREAK && !explained;
+                let shut = wait.is_some_and(|w| w.0 as f64 > SHUT_WAIT * fall) || many;
                 if shut && wait.is_some() {
                     (flow.health, flow.tokens) = (Health::Returning(wait_end), jitter);
                 } else if shut || flow.health != Health::Up {
@@ -286,14 +207,20 @@
                 let down = matches!(flow.health, Health::Down(_));
                 let many = self.streak >= OUTAGE_STREAK || flow.failing > OUTAGE_SHARE;
                 // Endpoints that share a limit can still fail one by one: only refusals close them all.
-                if self.endpoint.is_some() && (silent || returning || down || many) {
+                let gone = gone && self.last_success < sent;
+                if self.endpoint.is_some() && (silent || returning || down || many || gone) {
                     flow.health = Health::Down(now);
                 }
             }
         }
         self.last_answer = now;
         if let Health::Down(_) = flow.health {
-            flow.health = Health::Down(after(wait_end, (0.5 + jitter) / (2.0 * trial_rate(s)) * 1e6));
+            // Trials that do not run cost little; the others cost a message each.
+            let harmless = matches!(outcome, Outcome::ConnectFailed | Outcome::Full(_));
+            let least = 2.0 * trial_rate(s);
+            let most = if harmless { 1e6 / fall } else { least };
+            let rate = flow.trials(now, &bounds, s).min(most).max(least);
+            flow.health = Health::Down(after(wait_end, (0.5 + jitter) / rate * 1e6));
         }
         before == Health::Up && flow.health != Health::Up
     }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -19,7 +19,8 @@
 use crate::index::waiting::{Slip, Stand, Timer, Waiting};
 use crate::index::worth::{bends, learn, worth};
 use crate::interface::*;
-use line::{Flow, Health, Line, Seen};
+use crate::pacing::{Flow, Health, flow::RATE_S};
+use line::{Line, Seen};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rustc_hash::FxHashMap;
@@ -109,7 +110,7 @@
     }
 
     fn begin(&mut self, now: Time, events: &[Event], actions: &mut Vec<Action>) {
-        self.trusted_idle *= (seconds(since(now, self.now)) / line::RATE_S).exp();
+        self.trusted_idle *= (seconds(since(now, self.now)) / RATE_S).exp();
         (self.now, self.unfinished) = (now, false);
         self.waiting.advance(now, Time(now.0 + self.margin() + 1));
         self.fire_timers();
@@ -254,8 +255,9 @@
         let shares = |kind: KindId| s.kinds.get(kind.0).is_some_and(|kind| !kind.routes_apart);
         // The hint is the route's, or that of the destination whose endpoints share a limit.
         let line = |entry: &Entry, own: Option<EndpointId>| {
-            let hinted = s.hints != Hints::None && own.is_none() == shares(entry.kind);
-            Line::new(entry.destination, own, if hinted { entry.hint } else { 0.0 })
+            let gate = own.is_none() == shares(entry.kind);
+            let hinted = s.hints != Hints::None && gate;
+            Line::new(entry.destination, own, gate, if hinted { entry.hint } else { 0.0 })
         };
         let known: Vec<Entry> = entries.iter().filter(|e| e.kind.0 < s.kinds.len()).copied().collect();
         for (id, destination, gone, before) in self.directory.enter(&known, whole, self.now, shares, line) {
@@ -474,6 +476,8 @@
             }
         }
         let gate = lines[1].or(lines[0]);
+        let (mut back, many) =
+            (false, self.directory.destination(destination).map_or(1, |of| of.endpoints.len()));
         for place in lines.into_iter().flatten() {
             let (gate, jitter) = (gate == Some(place), if first { self.chance() } else { 0.0 });
             let line = self.directory.line_mut(place);
@@ -481,12 +485,15 @@
                 line.out.remove(&tried.call);
             }
             if first {
-                let seen = Seen { sent, outcome, report, gate, losses: self.lost > LOST_SHARE, jitter };
+                let lines = if gate { 1 } else { many };
+                let seen = Seen { sent, outcome, report, lines, losses: self.lost > LOST_SHARE, jitter };
+                let was_down = matches!(line.flow.health, Health::Down(_));
                 if line.learn(self.now, &self.settings, &seen) {
                     let Line { destination, endpoint, .. } = line;
                     let endpoint = endpoint.map_or(String::new(), |e| format!(" endpoint #{}", e.0));
                     self.log.push(format!("destination {}{endpoint} closed: {outcome:?}", destination.0));
                 }
+                back |= was_down && matches!(line.flow.health, Health::Returning(_));
                 if line.endpoint.is_some() {
                     learn(
                         &mut self.lost,
@@ -503,9 +510,26 @@
         if first && !matches!(outcome, Outcome::Success | Outcome::Cancelled | Outcome::Void) {
             self.close_shared(destination);
         }
+        if back {
+            self.try_others(destination);
+        }
         self.waiting.wake(destination);
     }
 
+    /// An outage mostly takes all endpoints of a destination: where one is back, the others may be.
+    fn try_others(&mut self, destination: DestinationId) {
+        let Some(of) = self.directory.destination(destination).filter(|of| of.shared.is_some()) else {
+            return;
+        };
+        let lines = of.endpoints.iter().filter_map(|id| Some(self.directory.endpoint(*id)?.line));
+        for place in lines.collect::<Vec<_>>() {
+            let flow = self.flow(self.directory.line(place));
+            if matches!(flow.health, Health::Down(_)) {
+                self.directory.line_mut(place).flow = Flow { health: Health::Down(self.now), ..flow };
+            }
+        }
+    }
+
     /// With the last endpoint that shares a limit the destination is out, and its return is paced as one.
     fn close_shared(&mut self, destination: DestinationId) {
         let Some(shared) = self.directory.destination(destination).and_then(|d| d.shared) else { return };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 mod index;
 mod interface;
 mod observe;
+mod pacing;
 pub mod profile;
 
 pub use decision::Sender;
--- a/src/observe.rs
+++ b/src/observe.rs
@@ -1,6 +1,7 @@
 //! What others may read of the decision module, and what the next process takes up of it. Nothing here decides.
 use crate::decision::Sender;
-use crate::decision::line::{Health, Line};
+use crate::decision::line::Line;
+use crate::pacing::Health;
 use crate::{EndpointId, Listing, Time};
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/src/pacing/mod.rs
@@ -0,0 +1,78 @@
+//! How much may be sent along a line as time passes: plain arithmetic of tokens, free of I/O and clocks.
+//!
+//! A line's limit is everybody's. Senders cannot ask each other, so each counts on an equal part of it, and on more where
+//! the last report told of room. What a fleet sends is the sum of this: no part may be worked out in a way that is
+//! harmless from one sender and too much from a hundred.
+pub(crate) mod flow;
+
+pub(crate) use flow::{Flow, Health};
+
+use crate::Settings;
+use crate::interface::seconds;
+
+/// Part of the equal share of a limit that is sent when nothing of it is known to be left: limits are told with noise.
+const FULL: f64 = 0.85;
+/// The same right after a refusal. Refused calls use a limit up too: senders that together go on at its rate are refused
+/// every time and never let it recover.
+const REFUSED: f64 = 0.5;
+/// What is added to that where all of the limit is left, in equal shares. It grows with the square of what is left: many
+/// read the same report, and all that act on it come together.
+const ROOM: f64 = 3.0;
+/// A returning line is sent at most this share of what the recovery rule allows (others return too).
+const RETURN_SHARE: f64 = 0.9;
+/// Part of the equal share that is taken for what a line took before, where this sender saw less of it.
+const USUAL: f64 = 0.8;
+
+/// What bounds the sending along a line besides what was learned of it.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Bounds {
+    /// An equal part of the limit in calls a second, 0 where none is known.
+    pub(crate) part: f64,
+    /// Whether the limit is this line's own: then the pace keeps to it.
+    pub(crate) gate: bool,
+    /// The share of the limit that was left when it was last told.
+    pub(crate) left: f64,
+}
+
+impl Bounds {
+    /// The equal part among the settings' senders of a `limit` shared out over so many lines.
+    pub(crate) fn new(limit: f64, lines: usize, gate: bool, left: f64, s: &Settings) -> Self {
+        let part = limit / s.senders.max(1) as f64 / lines.max(1) as f64;
+        Self { part: if part.is_finite() { part.max(0.0) } else { 0.0 }, gate, left }
+    }
+
+    /// Whether a limit is known that the pace keeps to.
+    pub(crate) fn limited(&self) -> bool {
+        self.gate && self.part > 0.0
+    }
+
+    /// Calls a second that may be sent by what was last told.
+    pub(crate) fn most(&self) -> f64 {
+        if !self.limited() {
+            return f64::INFINITY;
+        }
+        self.part * (FULL + ROOM * self.left.clamp(0.0, 1.0).powi(2))
+    }
+
+    /// Calls a second to go on with after a refusal.
+    pub(crate) fn refused(&self) -> f64 {
+        self.part * REFUSED
+    }
+
+    /// Calls a second that a line takes from this sender when it is warm, if it took `rate` before.
+    pub(crate) fn usual(&self, rate: f64, s: &Settings) -> f64 {
+        rate.max(self.part * USUAL).max(1.0 / seconds(s.rules.ramp.0).max(0.1))
+    }
+}
+
+/// Calls a second that are safe towards anything: one a `fall` from all senders together, or the cold share
+/// of one message a ramp, as among many only those with a message waiting call.
+pub(crate) fn trial_rate(s: &Settings) -> f64 {
+    let equal = 1.0 / (s.senders as f64 * seconds(s.rules.fall.0).max(0.1));
+    equal.max(cold(s) / seconds(s.rules.ramp.0).max(0.1))
+}
+
+/// What the recovery rule allows towards a line that has just come back, as a share of what it takes when warm.
+pub(crate) fn cold(s: &Settings) -> f64 {
+    s.rules.cold_share * s.rules.overload_factor * RETURN_SHARE
+}
