One call at a time to what is unknown; a ramp begins half way back to the last trial

Cause, counted on herd+vast: 70 senders that came back together sent 238 calls in a second to a destination with three routes of 42, as a line of which nothing is known had no pace at all; it fell over 2.3 s after its return. Change: while one endpoint of a destination has not answered yet, no other unknown one and no second call; first calls after a start or a new listing are spread over 10 ms a sender, a second at most; a line that answers a trial counts as back since half way to the last one.

--- a/src/decision/line.rs
+++ b/src/decision/line.rs
@@ -97,6 +97,11 @@
         self.latency + deviations * self.deviation
     }
 
+    /// Whether a call on it has been answered, or was given up; what endpoints share has no answers of its own.
+    pub(super) fn known(&self) -> bool {
+        self.latency > 0.0 || self.endpoint.is_none()
+    }
+
     /// Silent for longer than a healthy answer takes, with a call out for as long.
     pub(super) fn stalled(&self, now: Time) -> bool {
         let Some(oldest) = self.out.values().next().filter(|_| self.endpoint.is_some()) else { return false };
@@ -153,7 +158,9 @@
                 flow.failing -= LEARN * flow.failing;
                 flow.rate += 1.0 / RATE_S;
                 if let Health::Down(_) = flow.health {
-                    (flow.health, flow.tokens) = (Health::Returning(now), 0.0);
+                    // It came back somewhere between the last trial and this one.
+                    let half = since(now, self.last_answer).min(s.rules.ramp.0) / 2;
+                    (flow.health, flow.tokens) = (Health::Returning(Time(now.0 - half)), 0.0);
                 }
                 if limited && bounds.most() < flow.pace {
                     (flow.pace, flow.tokens) = (bounds.most(), flow.tokens.min(1.0));
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -33,6 +33,9 @@
 const POOLED_LEARN: f64 = 0.05;
 /// Steps between wake-ups at the least; held-up messages are looked at half as often.
 const HEARTBEAT: u64 = 4;
+/// For each sender of the fleet: over how long first calls to an endpoint are spread, and the most.
+const APART_US: f64 = 1e4;
+const MOST_APART_US: f64 = 1e6;
 /// Of each kind of work (moments, ends, turns) a step does at most so much, so that none holds up the host.
 const MOST_IN_STEP: usize = 1024;
 
@@ -251,13 +254,17 @@
 
     fn list(&mut self, entries: &[Entry], whole: bool) {
         self.list_failures = 0;
-        let s = &self.settings;
+        // All senders hear of a new endpoint together, or start together: their first calls come by chance apart.
+        let apart = (self.settings.senders as f64 * APART_US).min(MOST_APART_US) * self.chance();
+        let (s, first) = (&self.settings, after(self.now, apart));
         let shares = |kind: KindId| s.kinds.get(kind.0).is_some_and(|kind| !kind.routes_apart);
         // The hint is the route's, or that of the destination whose endpoints share a limit.
         let line = |entry: &Entry, own: Option<EndpointId>| {
             let gate = own.is_none() == shares(entry.kind);
             let hinted = s.hints != Hints::None && gate;
-            Line::new(entry.destination, own, gate, if hinted { entry.hint } else { 0.0 })
+            let mut line = Line::new(entry.destination, own, gate, if hinted { entry.hint } else { 0.0 });
+            line.hold_until = first;
+            line
         };
         let known: Vec<Entry> = entries.iter().filter(|e| e.kind.0 < s.kinds.len()).copied().collect();
         for (id, destination, gone, before) in self.directory.enter(&known, whole, self.now, shares, line) {
--- a/src/decision/turns.rs
+++ b/src/decision/turns.rs
@@ -28,7 +28,17 @@
 impl Sender {
     /// Limits of our own making: pauses after a refusal, silence, the share of slots, the learned pace.
     pub(super) fn paced(&self, line: &Line) -> bool {
-        self.now >= line.hold_until && !line.stalled(self.now) && self.flow(line).tokens >= 1.0
+        self.now >= line.hold_until
+            && !line.stalled(self.now)
+            && self.flow(line).tokens >= 1.0
+            && (line.known() || !self.asks(line.destination))
+    }
+
+    /// Whether a call is out to an endpoint of which nothing is known. Until it has answered its limit is not known
+    /// either, nor that of its neighbours: a sender that has just started must not send all that it holds.
+    fn asks(&self, destination: DestinationId) -> bool {
+        let mut lines = self.directory.endpoints_of(destination).map(|(_, at)| self.directory.line(at.line));
+        lines.any(|line| !line.known() && !line.out.is_empty())
     }
 
     /// Share of the slots that one destination may fill, whatever its routes.
