Messages that others wait behind go first; a whole fleet of modules against one partner

Change: where several messages could go to a destination, one that others wait behind in its key goes first; after a refusal the equal part holds again as soon as an answer tells of room, and those who were refused together come back apart from the first moment on; more than the equal part by the cube of what is left. Only a large fleet counts a line as back before its own first answer, and as many senders as there are decide how many calls go to what is unknown.

--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -554,7 +554,7 @@
         let held = self.numbers.len() - self.unnoticed;
         if !self.sender.admits(now, held, known.destination) {
             self.figures.refused(&owed.message.class);
-            self.trace.ended(now, owed.message.destination, "door");
+            self.trace.ended(now, owed.message.destination, "door", &owed.message.class, 0);
             return Answer::Refused;
         }
         let class = owed.message.class.clone();
@@ -825,7 +825,8 @@
         let id = owed.message.id.clone();
         self.figures.ended(&owed.message.class, end);
         let how = if matches!(end, End::Failed) { "failed" } else { "returned" };
-        self.trace.ended(self.now(), owed.message.destination, how);
+        let Handed { destination, class, .. } = &owed.message;
+        self.trace.ended(self.now(), *destination, how, class, owed.attempts);
         let booked = self.store.end(number, end);
         self.booked(booked);
         self.unnoticed += 1;
--- a/src/daemon/trace.rs
+++ b/src/daemon/trace.rs
@@ -78,8 +78,11 @@
     }
 
     /// A message was turned away at the door, or has ended undelivered.
-    pub fn ended(&self, at: Time, destination: u64, how: &str) {
+    pub fn ended(&self, at: Time, destination: u64, how: &str, class: &str, attempts: u32) {
         let Some(log) = &self.0 else { return };
-        log.line(&format!("trace ended at={} destination={destination} how={how}", at.0));
+        let at = at.0;
+        log.line(&format!(
+            "trace ended at={at} destination={destination} how={how} class={class} attempts={attempts}"
+        ));
     }
 }
--- a/src/decision/line.rs
+++ b/src/decision/line.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::pacing::flow::RATE_S;
-use crate::pacing::{Bounds, Flow, Health, trial_rate};
+use crate::pacing::{Bounds, Flow, Health, averaged, trial_rate};
 use std::cell::Cell;
 use std::collections::BTreeMap;
 
@@ -97,7 +97,7 @@
         self.latency + deviations * self.deviation
     }
 
-    /// Whether a call on it has been answered, or was given up; what endpoints share has no answers of its own.
+    /// Whether a call on it was answered, or was given up; what endpoints share has no answers of its own.
     pub(super) fn known(&self) -> bool {
         self.latency > 0.0 || self.endpoint.is_none()
     }
@@ -159,13 +159,15 @@
                 flow.rate += 1.0 / RATE_S;
                 if let Health::Down(_) = flow.health {
                     // It came back somewhere between the last trial and this one.
-                    let half = since(now, self.last_answer).min(s.rules.ramp.0) / 2;
-                    (flow.health, flow.tokens) = (Health::Returning(Time(now.0 - half)), 0.0);
+                    let back = since(now, self.last_answer).min(s.rules.ramp.0) as f64 * averaged(s.senders);
+                    (flow.health, flow.tokens) = (Health::Returning(Time(now.0 - back as u64)), 0.0);
                 }
                 if limited && bounds.most() < flow.pace {
                     (flow.pace, flow.tokens) = (bounds.most(), flow.tokens.min(1.0));
                 } else if limited && calm {
                     flow.pace += (bounds.most() - flow.pace) / 2.0;
+                } else if limited && self.left > ROOM_LEFT {
+                    flow.pace = flow.pace.max(bounds.equal());
                 }
             }
             Outcome::Full(wait) => {
@@ -182,7 +184,7 @@
                     // All who were refused together earn their next turns by chance apart.
                     self.left = 0.0;
                     flow.pace = flow.pace.min(bounds.refused());
-                    flow.tokens = flow.tokens.min(jitter - 0.5);
+                    flow.tokens = flow.tokens.min(jitter);
                 } else if gate {
                     // At the end of a told wait there is room; otherwise the next call waits its turn.
                     flow.pace = (flow.rate.min(flow.pace) * SLOW_DOWN).max(least);
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -33,9 +33,6 @@
 const POOLED_LEARN: f64 = 0.05;
 /// Steps between wake-ups at the least; held-up messages are looked at half as often.
 const HEARTBEAT: u64 = 4;
-/// For each sender of the fleet: over how long first calls to an endpoint are spread, and the most.
-const APART_US: f64 = 1e4;
-const MOST_APART_US: f64 = 1e6;
 /// Of each kind of work (moments, ends, turns) a step does at most so much, so that none holds up the host.
 const MOST_IN_STEP: usize = 1024;
 
@@ -198,14 +195,15 @@
         let ordered = self.settings.classes[message.class.0].ordered;
         let place = self.taken;
         self.taken += 1;
-        if let Some(key) = message.key.filter(|_| ordered) {
-            self.keys.enter(key, place, message.id);
-        }
+        let crowded = message.key.filter(|_| ordered).and_then(|k| self.keys.enter(k, place, message.id));
         let deadline = Time(self.now.0 + message.budget.0);
         let stage = Stage::Waiting(self.now);
         let held = Held { message, deadline, place, attempts: 0, stage, ran: None, slip: None };
         self.held.insert(message.id, Box::new(held));
         self.file(message.id);
+        if let Some(first) = crowded {
+            self.file(first);
+        }
     }
 
     /// A message of an earlier process: its attempts count, and what may have run is known.
@@ -254,17 +252,13 @@
 
     fn list(&mut self, entries: &[Entry], whole: bool) {
         self.list_failures = 0;
-        // All senders hear of a new endpoint together, or start together: their first calls come by chance apart.
-        let apart = (self.settings.senders as f64 * APART_US).min(MOST_APART_US) * self.chance();
-        let (s, first) = (&self.settings, after(self.now, apart));
+        let s = &self.settings;
         let shares = |kind: KindId| s.kinds.get(kind.0).is_some_and(|kind| !kind.routes_apart);
         // The hint is the route's, or that of the destination whose endpoints share a limit.
         let line = |entry: &Entry, own: Option<EndpointId>| {
             let gate = own.is_none() == shares(entry.kind);
             let hinted = s.hints != Hints::None && gate;
-            let mut line = Line::new(entry.destination, own, gate, if hinted { entry.hint } else { 0.0 });
-            line.hold_until = first;
-            line
+            Line::new(entry.destination, own, gate, if hinted { entry.hint } else { 0.0 })
         };
         let known: Vec<Entry> = entries.iter().filter(|e| e.kind.0 < s.kinds.len()).copied().collect();
         for (id, destination, gone, before) in self.directory.enter(&known, whole, self.now, shares, line) {
@@ -388,7 +382,9 @@
         let Stage::Waiting(at) = held.stage else { return };
         let Message { class, destination, key, .. } = held.message;
         let of_class = &self.settings.classes[class.0];
-        let (first, rest) = match key.filter(|_| of_class.ordered).and_then(|key| self.keys.first(key)) {
+        let key = key.filter(|_| of_class.ordered);
+        let crowded = key.is_some_and(|key| self.keys.crowded(key));
+        let (first, rest) = match key.and_then(|key| self.keys.first(key)) {
             Some((first, rest)) => (first == Some(id), rest),
             None => (true, Time(0)),
         };
@@ -412,7 +408,7 @@
             self.closed.push(id);
         }
         let (deadline, ran) = (held.deadline, held.ran.is_some());
-        let slip = Slip { class, destination, deadline, ran, zone, window, stand };
+        let slip = Slip { class, destination, deadline, ran, zone, window, crowded, stand };
         self.waiting.file(id, &slip);
         held.slip = Some(slip);
     }
--- a/src/decision/slow.rs
+++ b/src/decision/slow.rs
@@ -36,12 +36,21 @@
         }
         for queue in waiting.values_mut() {
             queue.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
+            // Those that others wait behind come before all, each part in its order.
+            queue.sort_by_key(|(.., id)| !self.held[id].slip.is_some_and(|slip| slip.crowded));
         }
         waiting.retain(|destination, _| self.directory.destination(*destination).is_some());
         while self.calls.len() < self.settings.slots {
             let fewest = waiting.iter().min_by(|(a, x), (b, y)| {
                 let calls = |d: &DestinationId| self.directory.destination(*d).map_or(0, |d| d.calls);
-                calls(a).cmp(&calls(b)).then(y[0].0.total_cmp(&x[0].0)).then(x[0].1.cmp(&y[0].1))
+                let first = |queue: &[(f64, Time, MessageId)]| {
+                    let worth = |a: &(f64, Time, MessageId), b: &(f64, Time, MessageId)| {
+                        b.0.total_cmp(&a.0).then(a.1.cmp(&b.1))
+                    };
+                    queue.iter().copied().min_by(worth).unwrap()
+                };
+                let (x, y) = (first(x), first(y));
+                calls(a).cmp(&calls(b)).then(y.0.total_cmp(&x.0)).then(x.1.cmp(&y.1))
             });
             let Some(destination) = fewest.map(|(d, _)| *d) else { return };
             let queue = &waiting[&destination];
--- a/src/decision/turns.rs
+++ b/src/decision/turns.rs
@@ -20,6 +20,8 @@
 const PATIENCE: f64 = 0.5;
 /// Least learned share of failures at which an unsafe message is held back: under it chance rules.
 const HOLD_SHARE: f64 = 0.2;
+/// Calls that all senders together may have out to a destination of which they know nothing.
+const FIRST_CALLS: usize = 20;
 /// Cost of another zone beside this sender's own, as a factor on the expected time: it has a price.
 const FAR: f64 = 1.2;
 /// Weight of the learned failing share in choosing an endpoint.
@@ -34,11 +36,12 @@
             && (line.known() || !self.asks(line.destination))
     }
 
-    /// Whether a call is out to an endpoint of which nothing is known. Until it has answered its limit is not known
-    /// either, nor that of its neighbours: a sender that has just started must not send all that it holds.
+    /// Whether enough calls are out to endpoints of which nothing is known: until an answer
+    /// comes nothing tells the limit. Senders that have just started must not send all that they hold.
     fn asks(&self, destination: DestinationId) -> bool {
-        let mut lines = self.directory.endpoints_of(destination).map(|(_, at)| self.directory.line(at.line));
-        lines.any(|line| !line.known() && !line.out.is_empty())
+        let lines = self.directory.endpoints_of(destination).map(|(_, at)| self.directory.line(at.line));
+        let out: usize = lines.filter(|line| !line.known()).map(|line| line.out.len()).sum();
+        out >= (FIRST_CALLS / self.settings.senders).max(1)
     }
 
     /// Share of the slots that one destination may fill, whatever its routes.
@@ -134,9 +137,22 @@
     }
 
     /// The first message for a destination that one of these endpoints may be sent, `held_back` by patience.
+    /// Those that others wait behind come before all: what a key holds up may be for partners that have room.
     fn first(&self, destination: DestinationId, open: &[EndpointId], held_back: bool) -> Option<MessageId> {
+        let first = |crowded| self.first_of(destination, open, held_back, crowded);
+        first(true).or_else(|| first(false))
+    }
+
+    fn first_of(
+        &self,
+        destination: DestinationId,
+        open: &[EndpointId],
+        held_back: bool,
+        crowded: bool,
+    ) -> Option<MessageId> {
         let open = || open.iter().filter_map(|id| self.directory.endpoint(*id));
-        let firsts = self.waiting.lanes(destination).iter().filter_map(|lane| {
+        let lanes = self.waiting.lanes(destination).iter().filter(|lane| lane.crowded == crowded);
+        let firsts = lanes.filter_map(|lane| {
             if !open().any(|at| lane.zone.is_none_or(|zone| zone == at.zone)) {
                 return None;
             }
--- a/src/index/keys.rs
+++ b/src/index/keys.rs
@@ -27,9 +27,16 @@
 pub struct Keys(BTreeMap<OrderKey, Key>);
 
 impl Keys {
-    /// A message takes its place at the end of a key's queue: places only grow.
-    pub fn enter(&mut self, key: OrderKey, place: u64, id: MessageId) {
-        self.0.entry(key).or_default().queue.insert((place, id));
+    /// A message takes its place at the end of a key's queue: places only grow. The first one, if this is the second.
+    pub fn enter(&mut self, key: OrderKey, place: u64, id: MessageId) -> Option<MessageId> {
+        let queue = &mut self.0.entry(key).or_default().queue;
+        queue.insert((place, id));
+        queue.first().filter(|_| queue.len() == 2).map(|(_, first)| *first)
+    }
+
+    /// Whether messages wait behind the first one of a key.
+    pub fn crowded(&self, key: OrderKey) -> bool {
+        self.0.get(&key).is_some_and(|known| known.queue.len() > 1)
     }
 
     /// A message leaves its key: what comes first now, if that has changed. The last one takes the key with it, unless
--- a/src/index/waiting.rs
+++ b/src/index/waiting.rs
@@ -47,21 +47,31 @@
     pub zone: Option<ZoneId>,
     /// When the window of its key closes.
     pub window: Option<Time>,
+    /// Whether others wait behind it.
+    pub crowded: bool,
     /// Where it stands.
     pub stand: Stand,
 }
 
-/// Ready messages of a class that may go anywhere, or to one zone only.
+/// Ready messages of a class that may go anywhere, or to one zone only, with others behind them or with none.
 #[cfg_attr(test, derive(Clone))]
 pub struct Lane {
     /// Their class.
     pub class: ClassId,
     /// The zone.
     pub zone: Option<ZoneId>,
+    /// Whether others wait behind each of them.
+    pub crowded: bool,
     /// They.
     pub shelf: Shelf<(), MessageId>,
 }
 
+impl Lane {
+    fn takes(&self, slip: &Slip) -> bool {
+        (self.class, self.zone, self.crowded) == (slip.class, slip.zone, slip.crowded)
+    }
+}
+
 /// The ready messages of one destination.
 #[cfg_attr(test, derive(Clone))]
 #[derive(Default)]
@@ -138,9 +148,10 @@
             Stand::Until(at) => self.timers.set(at, Timer::Ready(id)),
             Stand::Ready => {
                 let lanes = &mut self.queues.entry(slip.destination).or_default().lanes;
-                let lane = lanes.iter().position(|lane| lane.class == slip.class && lane.zone == slip.zone);
+                let lane = lanes.iter().position(|lane| lane.takes(slip));
                 let lane = lane.unwrap_or_else(|| {
-                    lanes.push(Lane { class: slip.class, zone: slip.zone, shelf: Shelf::new() });
+                    let Slip { class, zone, crowded, .. } = *slip;
+                    lanes.push(Lane { class, zone, crowded, shelf: Shelf::new() });
                     lanes.len() - 1
                 });
                 lanes[lane].shelf.insert((), slip.deadline, id);
@@ -163,7 +174,7 @@
                 self.ready -= 1;
                 let Some(queue) = self.queues.get_mut(&slip.destination) else { return };
                 let mut lanes = queue.lanes.iter();
-                let lane = lanes.position(|lane| lane.class == slip.class && lane.zone == slip.zone);
+                let lane = lanes.position(|lane| lane.takes(slip));
                 if let Some(lane) = lane {
                     queue.lanes[lane].shelf.remove((), slip.deadline, id);
                     if queue.lanes[lane].shelf.is_empty() {
--- a/src/pacing/mod.rs
+++ b/src/pacing/mod.rs
@@ -15,9 +15,9 @@
 /// The same right after a refusal. Refused calls use a limit up too: senders that together go on at its rate are refused
 /// every time and never let it recover.
 const REFUSED: f64 = 0.5;
-/// What is added to that where all of the limit is left, in equal shares. It grows with the square of what is left: many
+/// What is added to that where all of the limit is left, in equal shares. It grows with the cube of what is left: many
 /// read the same report, and all that act on it come together.
-const ROOM: f64 = 3.0;
+const ROOM: f64 = 8.0;
 /// A returning line is sent at most this share of what the recovery rule allows (others return too).
 const RETURN_SHARE: f64 = 0.9;
 /// Part of the equal share that is taken for what a line took before, where this sender saw less of it.
@@ -51,7 +51,12 @@
         if !self.limited() {
             return f64::INFINITY;
         }
-        self.part * (FULL + ROOM * self.left.clamp(0.0, 1.0).powi(2))
+        self.part * (FULL + ROOM * self.left.clamp(0.0, 1.0).powi(3))
+    }
+
+    /// Calls a second that no report has to allow.
+    pub(crate) fn equal(&self) -> f64 {
+        self.part * FULL
     }
 
     /// Calls a second to go on with after a refusal.
@@ -72,6 +77,12 @@
     equal.max(cold(s) / seconds(s.rules.ramp.0).max(0.1))
 }
 
+/// Which part of the time between two trials, the first in vain, a line counts as back since. On the mean over a large
+/// fleet it is half; a few senders may be wrong together, and count on none.
+pub(crate) fn averaged(senders: usize) -> f64 {
+    (0.5 - 2.0 / senders.max(1) as f64).max(0.0)
+}
+
 /// What the recovery rule allows towards a line that has just come back, as a share of what it takes when warm.
 pub(crate) fn cold(s: &Settings) -> f64 {
     s.rules.cold_share * s.rules.overload_factor * RETURN_SHARE
