--- a/crates/micadrum-rehearsal/src/lib.rs
+++ b/crates/micadrum-rehearsal/src/lib.rs
@@ -6,6 +6,7 @@
 //! the [`judge`] and into the [`report`].
 #![forbid(unsafe_code)]
 
+pub mod count;
 mod http;
 pub mod hunt;
 pub mod judge;
--- a/crates/micadrum-rehearsal/src/main.rs
+++ b/crates/micadrum-rehearsal/src/main.rs
@@ -1,12 +1,14 @@
 //! `micadrum-rehearse`: plays a scenario against the daemon, simulated or live, and judges the six rules.
 use clap::{Args, Parser, Subcommand};
+use micadrum_rehearsal::count::Count;
 use micadrum_rehearsal::plan::Plan;
 use micadrum_rehearsal::report::Report;
 use micadrum_rehearsal::scenario::Scenario;
 use micadrum_rehearsal::units::Span;
 use micadrum_rehearsal::{hunt, live, sim};
+use std::io::{BufRead, BufReader};
 use std::ops::RangeInclusive;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// Plays a scenario against the daemon, simulated or live, and judges the six rules.
@@ -69,6 +71,11 @@
         #[arg(long, value_name = "N", value_parser = clap::value_parser!(u16).range(1..))]
         jobs: Option<u16>,
     },
+    /// Adds up the logs of daemons that ran with MICADRUM_TRACE=calls, by destination and second
+    Count {
+        /// A folder of logs, one a sender
+        logs: PathBuf,
+    },
     /// Reads the files and nothing more
     Check {
         /// The scenarios
@@ -168,9 +175,31 @@
     code
 }
 
+fn count(logs: &Path) -> Result<Count, Wrong> {
+    let unreadable = |path: &Path, e: std::io::Error| Wrong::Asked(format!("{}: {e}", path.display()));
+    let mut count = Count::default();
+    for entry in std::fs::read_dir(logs).map_err(|e| unreadable(logs, e))? {
+        let path = entry.map_err(|e| unreadable(logs, e))?.path();
+        if !path.is_file() {
+            continue;
+        }
+        let log = std::fs::File::open(&path).map_err(|e| unreadable(&path, e))?;
+        for (number, line) in BufReader::new(log).lines().enumerate() {
+            let line = line.map_err(|e| unreadable(&path, e))?;
+            let place = || format!("{}:{}", path.display(), number + 1);
+            count.add(&line).map_err(|e| Wrong::Asked(format!("{}: {e}", place())))?;
+        }
+    }
+    Ok(count)
+}
+
 fn run(what: What) -> Result<ExitCode, Wrong> {
     let failed = |e: std::io::Error| Wrong::Run(e.to_string());
     match what {
+        What::Count { logs } => {
+            print!("{}", count(&logs)?);
+            Ok(ExitCode::SUCCESS)
+        }
         What::Check { scenarios } => Ok(check(&scenarios)),
         What::Sim { day, seed, random_faults, json, logs, progress } => {
             let plan = day.plan(&scenario(&day.scenario)?, seed, random_faults);
