--- a/src/pacing/mod.rs
+++ b/src/pacing/mod.rs
@@ -80,7 +80,7 @@
 /// Which part of the time between two trials, the first in vain, a line counts as back since. On the mean over a large
 /// fleet it is half; a few senders may be wrong together, and count on none.
 pub(crate) fn averaged(senders: usize) -> f64 {
-    (0.5 - 2.0 / senders.max(1) as f64).max(0.0)
+    (0.5 - 10.0 / senders.max(1) as f64).max(0.0)
 }
 
 /// What the recovery rule allows towards a line that has just come back, as a share of what it takes when warm.
