--- a/src/decision/line.rs
+++ b/src/decision/line.rs
@@ -43,9 +43,6 @@
     pub(super) last_answer: Time,
     last_success: Time,
     last_refusal: Time,
-    /// The last call that ended was given up, and none was answered that was sent since it was.
-    #[serde(default)]
-    pub(super) silent: bool,
     /// The limit as it was last told, over how many lines it goes, whether they wait for each other by it.
     limit: f64,
     #[serde(default)]
@@ -157,7 +154,7 @@
         match outcome {
             Outcome::Cancelled | Outcome::Void => return false,
             Outcome::Success => {
-                (self.streak, self.fulls, self.last_success, self.silent) = (0, 0, now, false);
+                (self.streak, self.fulls, self.last_success) = (0, 0, now);
                 flow.failing -= LEARN * flow.failing;
                 flow.rate += 1.0 / RATE_S;
                 if let Health::Down(_) = flow.health {
@@ -205,7 +202,6 @@
             }
             Outcome::Failure | Outcome::TimedOut | Outcome::Reset | Outcome::ConnectFailed => {
                 self.streak += 1;
-                self.silent |= outcome == Outcome::TimedOut && self.last_success < sent;
                 if self.streak > 1 {
                     self.doubted = Some(now);
                 }
--- a/src/decision/turns.rs
+++ b/src/decision/turns.rs
@@ -34,7 +34,6 @@
             && !line.stalled(self.now)
             && self.flow(line).tokens >= 1.0
             && (line.known() || !self.asks(line.destination))
-            && !(line.silent && !line.out.is_empty()) // may be in an outage, and its return a surprise
     }
 
     /// Whether enough calls are out to endpoints of which nothing is known: until an answer
--- a/src/pacing/mod.rs
+++ b/src/pacing/mod.rs
@@ -22,6 +22,10 @@
 const RETURN_SHARE: f64 = 0.9;
 /// Part of the equal share that is taken for what a line took before, where this sender saw less of it.
 const USUAL: f64 = 0.8;
+/// What a fleet that is large without bound adds to that.
+const USUAL_OF_MANY: f64 = 0.4;
+/// Up to so many senders count as few: what one does is not averaged out by the others.
+const FEW: f64 = 20.0;
 
 /// What bounds the sending along a line besides what was learned of it.
 #[derive(Clone, Copy, Default)]
@@ -66,7 +70,7 @@
 
     /// Calls a second that a line takes from this sender when it is warm, if it took `rate` before.
     pub(crate) fn usual(&self, rate: f64, s: &Settings) -> f64 {
-        rate.max(self.part * USUAL).max(1.0 / seconds(s.rules.ramp.0).max(0.1))
+        rate.max(self.part * usual_part(s.senders)).max(1.0 / seconds(s.rules.ramp.0).max(0.1))
     }
 }
 
@@ -77,10 +81,16 @@
     equal.max(cold(s) / seconds(s.rules.ramp.0).max(0.1))
 }
 
+/// Which part of its equal share a sender counts on while a line comes back. Of a large fleet most have nothing to send
+/// along it at any one moment: the sum of what is used stays well under the sum of the shares.
+fn usual_part(senders: usize) -> f64 {
+    USUAL + USUAL_OF_MANY * (1.0 - FEW / senders.max(1) as f64).max(0.0)
+}
+
 /// Which part of the time between two trials, the first in vain, a line counts as back since. On the mean over a large
 /// fleet it is half; a few senders may be wrong together, and count on none.
 pub(crate) fn averaged(senders: usize) -> f64 {
-    (0.5 - 10.0 / senders.max(1) as f64).max(0.0)
+    (1.0 - FEW / senders.max(1) as f64).max(0.0) / 2.0
 }
 
 /// What the recovery rule allows towards a line that has just come back, as a share of what it takes when warm.
