On a full disk the room of the reserve is for ends alone

Counted while the reserve was given up, by kind of record: 834 messages were taken on and 711 attempts begun in its room (282 KB on three disks), and then 848 ends, noticed to the platform, found none; after the kill those messages were owed still, and went out again.

Change: what is not an end, an outcome or a message that is over finds no room while there is no reserve; one is set aside again first, if it can be. The test fails without the mend.

--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -273,10 +273,17 @@
     /// this process goes on by what it knows, and the next compaction writes it down.
     fn append(&mut self, record: Record) -> Result<(), StoreError> {
         let needed = matches!(record, Record::Outcome { .. } | Record::Ended(..) | Record::OverSince(..));
+        // The room of a reserve that was given up is for ends alone: what is begun meanwhile would take it from them.
+        if !needed {
+            self.reserve();
+        }
         // One buffer for all records: growing a new one for each cost more than the checksum.
         let mut room = std::mem::take(&mut self.room);
         room.clear();
         let written = frame(&record, room).and_then(|frame| {
+            if !needed && !self.reserved {
+                return Err(io::ErrorKind::StorageFull.into());
+            }
             let done = match self.write(&frame) {
                 Err(_) if needed && std::mem::take(&mut self.reserved) => {
                     self.folder.remove(RESERVE)?;
@@ -541,6 +548,91 @@
         assert_eq!(ids(&store), ["a"]);
     }
 
+    /// A folder on a disk that others fill: it holds no more than so many bytes, if that is set.
+    struct Shared {
+        folder: Folder,
+        path: std::path::PathBuf,
+        most: Rc<std::cell::Cell<Option<u64>>>,
+    }
+
+    struct Part(Box<dyn AppendFile>, std::path::PathBuf, Rc<std::cell::Cell<Option<u64>>>);
+
+    fn bytes_in(path: &Path) -> u64 {
+        std::fs::read_dir(path).unwrap().map(|f| f.unwrap().metadata().unwrap().len()).sum()
+    }
+
+    impl AppendFile for Part {
+        fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+            if self.2.get().is_some_and(|most| bytes_in(&self.1) + bytes.len() as u64 > most) {
+                return Err(io::ErrorKind::StorageFull.into());
+            }
+            self.0.append(bytes)
+        }
+
+        fn truncate(&mut self, length: u64) -> io::Result<()> {
+            self.0.truncate(length)
+        }
+    }
+
+    impl Storage for Shared {
+        fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+            self.folder.read(name)
+        }
+
+        fn open(&self, name: &str) -> io::Result<Box<dyn AppendFile>> {
+            Ok(Box::new(Part(self.folder.open(name)?, self.path.clone(), self.most.clone())))
+        }
+
+        fn create(&self, name: &str) -> io::Result<Box<dyn AppendFile>> {
+            Ok(Box::new(Part(self.folder.create(name)?, self.path.clone(), self.most.clone())))
+        }
+
+        fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+            self.folder.rename(from, to)
+        }
+
+        fn remove(&self, name: &str) -> io::Result<()> {
+            self.folder.remove(name)
+        }
+    }
+
+    /// Guards against room that was set aside for ends and goes to newcomers: on a disk that is full for long every end of
+    /// what is held has to be in the journal, or it is sent again after a kill (full-disk-restart 15186626001).
+    #[test]
+    fn on_a_full_disk_the_reserve_holds_every_end() {
+        let place = tempfile::tempdir().unwrap();
+        let path = place.path().to_owned();
+        let most = Rc::new(std::cell::Cell::new(None));
+        let shared = || Shared { folder: Folder(path.clone()), path: path.clone(), most: most.clone() };
+        let (mut store, _) = Store::open(Rc::new(shared()), DISK).unwrap();
+        let numbers: Vec<u32> =
+            (0..500).map(|n| store.take_on(message(&n.to_string(), 300)).unwrap()).collect();
+        for number in &numbers {
+            store.begin(*number, attempt(1)).unwrap();
+        }
+        most.set(Some(bytes_in(&path)));
+        for (n, number) in numbers.iter().enumerate() {
+            assert!(store.outcome(*number, true).is_ok(), "{n}");
+            // Until bodies that ended are left out of a file written anew, and there is room for a reserve.
+            if n < 300 {
+                assert!(
+                    store.take_on(message("late", 300)).is_err(),
+                    "{n}: room taken from what is owed its end"
+                );
+                assert!(
+                    store.begin(*number, attempt(2)).is_err(),
+                    "{n}: an attempt without room for its end"
+                );
+            }
+            assert!(store.end(*number, End::Failed).is_ok(), "{n}");
+        }
+        drop(store);
+        let (mut store, _) = Store::open(Rc::new(shared()), DISK).unwrap();
+        assert_eq!(store.owed().filter(|(_, owed)| owed.end == Some(End::Failed)).count(), 500);
+        most.set(None);
+        assert!(store.take_on(message("later", 300)).is_ok() && store.reserved, "there is room again");
+    }
+
     /// Guards against a folder over its limit, also while old and new file stand side by side, and against
     /// refusing long before: the journal is written anew in time, and refuses when that can no longer help.
     #[test]
