The watch asks for the whole list where an agent has moved or counts anew

Change: one wait for a new address over pause and call, which forgets the revision; an answer that is behind the revision asked from lets the next call ask for all. Two tests over sockets; both fail without it.

--- a/src/daemon/discovery.rs
+++ b/src/daemon/discovery.rs
@@ -44,31 +44,32 @@
     host: UnboundedSender<Input>,
     ports: Ports,
 ) {
-    let mut revision = known;
-    let mut connection = None;
-    let mut failing = false;
-    if known.is_some() {
-        let agent = agents.get();
-        tokio::select! {
-            () = agents.wait_for(|address| address != agent) => revision = None,
-            () = sleep(asking.first()) => {}
-        }
-    }
+    let mut agent = agents.get();
+    let (mut revision, mut connection, mut failing) = (known, None, false);
+    let mut pause = if known.is_some() { asking.first() } else { Duration::ZERO };
     loop {
-        let agent = agents.get();
+        let answer = async {
+            if !pause.is_zero() {
+                sleep(pause).await;
+            }
+            let next = next(&*ports.network, agent, revision, &mut connection);
+            timeout(HOLD + PATIENCE, next).await.unwrap_or(Err(WatchError::Silent))
+        };
         let answer = tokio::select! {
             biased;
             () = agents.wait_for(|address| address != agent) => {
-                (revision, connection) = (None, None);
+                (agent, revision, connection, pause) = (agents.get(), None, None, Duration::ZERO);
                 continue;
             }
-            answer = timeout(HOLD + PATIENCE, next(&*ports.network, agent, revision, &mut connection)) => answer,
+            answer = answer => answer,
         };
-        match answer.unwrap_or(Err(WatchError::Silent)) {
+        match answer {
             Ok(targets) => {
-                failing = false;
+                (failing, pause) = (false, Duration::ZERO);
                 asking.answered();
-                revision = Some(targets.revision);
+                // An agent that has started anew may count from the start: nothing would be newer than what is known.
+                let follows = targets.complete || revision.is_none_or(|from| targets.revision >= from);
+                revision = follows.then_some(targets.revision);
                 if host.send(Input::Targets(targets)).is_err() {
                     return;
                 }
@@ -78,13 +79,7 @@
                 if !failing {
                     ports.log.line(&format!("discovery: {e}"));
                 }
-                failing = true;
-                connection = None;
-                // It may be at another address by then.
-                tokio::select! {
-                    () = agents.wait_for(|address| address != agent) => {}
-                    () = sleep(asking.failed()) => {}
-                }
+                (failing, connection, pause) = (true, None, asking.failed());
             }
         }
     }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -4,4 +4,5 @@
 mod handover;
 mod operators;
 mod restarts;
+mod watch;
 mod world;
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -150,6 +150,12 @@
 }
 
 impl Platform {
+    /// A peer that the test answers for itself.
+    pub fn at(address: SocketAddr) -> Self {
+        let ((_, notices), (changes, _)) = (mpsc::unbounded_channel(), mpsc::unbounded_channel());
+        Self { address, notices, changes, deaf: Arc::default() }
+    }
+
     pub async fn start() -> Self {
         let mut peer = Peer::start().await;
         let address = peer.address;
