A pushed list is asked for at once, within the grace for drains whatever the fleet's size

Cause: Asking::first in daemon/asking.rs spread the first calls of 200 or more senders over ten seconds after a start (SPREAD * senders), and a pause after a failure grew to 30 s. PROTOCOL: what the agent has counts as told to the sender, asked for or not.

Pushed, the agent answers at no cost: it is asked at once, and pauses stay within the grace. On request the spread stays, bounded by must_ask_in, and four times that after a call in vain.

A test plays 100 senders with drains right after their start, and convicts them when they are told that the list comes on request.

--- a/crates/micadrum-rehearsal/src/scenario.rs
+++ b/crates/micadrum-rehearsal/src/scenario.rs
@@ -8,7 +8,7 @@
 /// Longest day that a scenario may ask for.
 pub const MOST_LENGTH: Span = Span::seconds(7 * 24 * 3600);
 /// Most senders and partners.
-pub const MOST_PARTIES: u32 = 200;
+pub const MOST_PARTIES: u32 = 400;
 
 /// One rehearsal, as its file tells it.
 #[derive(Clone, Debug, Deserialize)]
--- a/crates/micadrum-rehearsal/tests/hard_cases.rs
+++ b/crates/micadrum-rehearsal/tests/hard_cases.rs
@@ -4,6 +4,7 @@
 use common::{kept, play, read, scenario, shipped};
 use micadrum_rehearsal::judge::Rule;
 use micadrum_rehearsal::plan::{Lie, Plan};
+use micadrum_rehearsal::scenario::Scenario;
 
 fn shipped_one(name: &str, seeds: std::ops::RangeInclusive<u64>) {
     let file = shipped().into_iter().find(|f| f.file_stem().is_some_and(|stem| stem == name)).unwrap();
@@ -83,6 +84,29 @@
     assert!(again > 5, "{again} came again\n{}", report.text());
 }
 
+/// Guards against senders of a large fleet that know for longer than the grace nothing of what their agents were sent: told
+/// that the list comes only on request, they spread their first calls over seconds, and are convicted of it.
+#[test]
+fn a_fleet_is_told_of_drains_while_it_starts() {
+    let fleet = |seed| {
+        let drains =
+            (1..4).map(|at| format!("[[fault]]\nkind = \"drain\"\nat = \"{at} s\"\nshare = \"20%\"\n"));
+        let text = format!(
+            "title = \"test\"\nlength = \"7 s\"\nsenders = 100\npartners = 8\ntraffic = \"300/s\"\n\
+             list_delay = \"300 ms\"\n{}",
+            drains.collect::<String>()
+        );
+        Plan::new(Scenario::parse("fleet.toml", &text).unwrap(), seed)
+    };
+    for seed in 1..=2 {
+        let verdict = play(fleet(seed)).verdict;
+        assert!(verdict.broken.is_empty(), "seed {seed}: {:?}", verdict.broken);
+    }
+    let mut slow = fleet(1);
+    slow.lies = vec![Lie { pointer: "/settings/discovery".to_owned(), value: "on_request".into() }];
+    assert!(play(slow).verdict.broken.contains_key(&Rule::Drain));
+}
+
 /// Guards against a judge that lets a faulty sender pass. The senders are made faulty by what they are told wrong,
 /// or by a folder that is emptied behind their back; all else is the real code. What no configuration makes it do is
 /// planted in the judge's own tests.
--- a/src/daemon/asking.rs
+++ b/src/daemon/asking.rs
@@ -1,7 +1,12 @@
 //! When to ask what a whole fleet asks of one place, such as the list of discovery. Free of I/O and clocks.
 //!
-//! A call that comes while too many are in line there fails, and its work is lost: a fleet that asks again at once keeps
-//! the line long and hears nothing. So the pauses grow with the fleet, as if all of its senders were in the same case.
+//! How the list comes decides. Pushed, it lies with the agent on the sender's own machine, which answers at no cost; what
+//! it has counts as told, asked for or not, and sends to what drains have to stop within the grace. So it is asked at
+//! once, and no pause is longer than the grace. On request, a call costs discovery, and what was listed counts as told
+//! only to those who have not asked for `must_ask_in`, four times that after a call in vain: there a call that comes while
+//! too many are in line fails, and its work is lost; a fleet that asks again at once keeps the line long and hears
+//! nothing. So pauses grow with the fleet, as if all of its senders were in the same case, up to those bounds.
+use crate::Discovery;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use std::time::Duration;
@@ -15,25 +20,59 @@
 const LONGEST: Duration = Duration::from_millis(100);
 /// Senders beyond which nothing grows any more: news is owed within seconds, whatever the settings say of the fleet.
 const MOST_SENDERS: usize = 200;
+/// The longest first wait, as a share of the time within which a sender must have asked: the rest is for the answer.
+const FIRST_OF_BOUND: f64 = 0.8;
+/// The longest pause, as a share of the time within which it must have asked again: chance adds half.
+const PAUSE_OF_BOUND: f64 = 0.5;
+/// Where the list comes on request, a call in vain counts for so many times as long as none.
+const AFTER_FAILURE: u32 = 4;
+
+/// What the settings say of how the list is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Senders that ask in the same place.
+    pub senders: usize,
+    /// How the list comes.
+    pub discovery: Discovery,
+    /// Within how long of hearing that an endpoint drains sends to it have to stop.
+    pub grace: Duration,
+    /// Who has not asked for so long counts as told; zero where nothing is said of it.
+    pub must_ask_in: Duration,
+}
 
 /// Pauses that double with each failure up to a bound, drawn by chance: senders that fail together do not come back
 /// together.
 pub struct Asking {
-    senders: u32,
+    first: Duration,
+    doubled: Duration,
+    longest: Duration,
     failures: u32,
     random: ChaCha8Rng,
 }
 
 impl Asking {
-    /// For one of so many senders.
-    pub fn new(senders: usize, seed: u64) -> Self {
-        let senders = u32::try_from(senders.clamp(1, MOST_SENDERS)).unwrap_or(1);
-        Self { senders, failures: 1, random: ChaCha8Rng::seed_from_u64(seed) }
+    /// On those terms.
+    pub fn new(terms: Terms, seed: u64) -> Self {
+        let senders = u32::try_from(terms.senders.clamp(1, MOST_SENDERS)).unwrap_or(1);
+        let within = |span: Duration, bound: Duration, share| match bound {
+            Duration::ZERO => span,
+            bound => span.min(bound.mul_f64(share)),
+        };
+        let must = terms.must_ask_in;
+        let (first, doubled, longest) = match terms.discovery {
+            Discovery::Pushed => (Duration::ZERO, AT_ONCE, terms.grace.mul_f64(PAUSE_OF_BOUND)),
+            Discovery::OnRequest => (
+                within(SPREAD * senders, must, FIRST_OF_BOUND),
+                FIRST * senders,
+                within(LONGEST * senders, must * AFTER_FAILURE, PAUSE_OF_BOUND),
+            ),
+        };
+        Self { first, doubled, longest, failures: 1, random: ChaCha8Rng::seed_from_u64(seed) }
     }
 
     /// How long to wait before the first call, where a list is known that serves until then.
     pub fn first(&mut self) -> Duration {
-        (SPREAD * self.senders).mul_f64(self.chance())
+        self.first.mul_f64(self.chance())
     }
 
     /// It was answered.
@@ -43,10 +82,9 @@
 
     /// It was not: how long to wait before asking again.
     pub fn failed(&mut self) -> Duration {
-        let doubled = FIRST * self.senders * (1 << self.failures.saturating_sub(1).min(8));
         let pause = match self.failures {
             0 => AT_ONCE,
-            _ => doubled.max(AT_ONCE).min(LONGEST * self.senders),
+            failures => (self.doubled * (1 << (failures - 1).min(8))).min(self.longest).max(AT_ONCE),
         };
         self.failures = self.failures.saturating_add(1);
         pause.mul_f64(0.5 + self.chance())
@@ -61,10 +99,18 @@
 mod tests {
     use super::*;
 
+    const GRACE: Duration = Duration::from_secs(1);
+    const MUST: Duration = Duration::from_secs(10);
+
+    fn terms(senders: usize, discovery: Discovery) -> Terms {
+        Terms { senders, discovery, grace: GRACE, must_ask_in: MUST }
+    }
+
     /// What became of a fleet that starts together and asks one place that answers `capacity` calls a second in turn, and
     /// turns away nobody, but whose answer counts only within 2 s of the call: senders that were answered by `end`.
     fn answered(senders: usize, capacity: f64, end: f64) -> usize {
-        let mut asking: Vec<_> = (0..senders).map(|seed| Asking::new(senders, seed as u64)).collect();
+        let mut asking: Vec<_> =
+            (0..senders).map(|seed| Asking::new(terms(senders, Discovery::OnRequest), seed as u64)).collect();
         let mut calls: Vec<(f64, usize)> = asking
             .iter_mut()
             .enumerate()
@@ -95,19 +141,45 @@
         }
     }
 
-    /// Guards against a pause that outlasts news by far, or is none, with an absurd fleet, and against one that
-    /// stays long after an answer.
+    /// Guards against a sender that does not know for longer than the grace what its agent has: a list that is pushed
+    /// counts as told with what the agent has, whatever the size of the fleet.
+    #[test]
+    fn what_is_pushed_is_asked_for_within_the_grace() {
+        for seed in 0..200 {
+            for senders in [1, 20, 300, usize::MAX] {
+                let mut asking = Asking::new(terms(senders, Discovery::Pushed), seed);
+                assert_eq!(asking.first(), Duration::ZERO, "{senders} senders, seed {seed}");
+                for _ in 0..20 {
+                    let pause = asking.failed();
+                    assert!(
+                        pause >= AT_ONCE / 2 && pause <= GRACE.mul_f64(0.8),
+                        "{senders}, {seed}: {pause:?}"
+                    );
+                }
+            }
+        }
+    }
+
+    /// Guards against a sender that counts as told because it has not asked for too long, after its start or a call in
+    /// vain; against a pause that is none or without bound, with an absurd fleet; and against one that stays long after
+    /// an answer.
     #[test]
     fn pauses_are_bounded_whatever_the_settings_say() {
-        for senders in [0, 1, 3, 1_000, usize::MAX] {
-            let mut asking = Asking::new(senders, 7);
-            assert!(asking.first() <= Duration::from_secs(10), "{senders}");
-            for _ in 0..100 {
-                let pause = asking.failed();
-                assert!(pause >= AT_ONCE / 2 && pause <= Duration::from_secs(30), "{senders}: {pause:?}");
+        for seed in 0..200 {
+            for senders in [0, 1, 3, 300, usize::MAX] {
+                for must_ask_in in [MUST, Duration::from_secs(2), Duration::ZERO] {
+                    let terms = Terms { must_ask_in, ..terms(senders, Discovery::OnRequest) };
+                    let bound = if must_ask_in.is_zero() { MUST } else { must_ask_in };
+                    let mut asking = Asking::new(terms, seed);
+                    assert!(asking.first() <= bound, "{senders} senders, seed {seed}");
+                    for _ in 0..20 {
+                        let pause = asking.failed();
+                        assert!(pause >= AT_ONCE / 2 && pause <= bound * 3, "{senders}, {seed}: {pause:?}");
+                    }
+                    asking.answered();
+                    assert!(asking.failed() <= AT_ONCE * 3 / 2);
+                }
             }
-            asking.answered();
-            assert!(asking.failed() <= AT_ONCE * 3 / 2);
         }
     }
 }
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -1,5 +1,6 @@
 //! The loop round the decision module: feeds it events, carries out its actions, and keeps the journal ahead
 //! of both. It maps the wire's names to the module's numbers.
+use super::asking::Terms;
 use super::budget::Budget;
 use super::call::{Call, Outside, Parcel, ReportFields};
 use super::classes::{Classes, Named};
@@ -272,6 +273,14 @@
         Ok(host)
     }
 
+    /// On which terms the list is asked for.
+    pub fn asking(&self) -> Terms {
+        let Settings { senders, discovery, rules, .. } = self.settings;
+        let [grace, must_ask_in] =
+            [rules.drain_grace, rules.must_ask_in].map(|span| Duration::from_micros(span.0));
+        Terms { senders, discovery, grace, must_ask_in }
+    }
+
     /// Works until it has wound down, or given up its place.
     pub async fn run(mut self, inputs: &mut UnboundedReceiver<Input>) -> Option<Legacy> {
         loop {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -145,7 +145,7 @@
         let known = start.inheritance.is_none().then_some(config.known.revision);
         let host = Host::new(start, store, links, budget, ports.clone()).map_err(StartError::Settings)?;
         let mut with_platform = JoinSet::new();
-        let asking = Asking::new(config.settings.senders(), seed);
+        let asking = Asking::new(host.asking(), seed);
         let watch = discovery::watch(platform.clone(), known, asking, inputs.clone(), ports.clone());
         with_platform.spawn_local(watch);
         with_platform.spawn_local(notices::run(platform.clone(), queue, inputs.clone(), ports.clone()));
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -164,11 +164,6 @@
         self.report.names.iter().position(|n| n == name)
     }
 
-    /// How many senders share the traffic.
-    pub fn senders(&self) -> usize {
-        self.fleet_size
-    }
-
     /// How many calls may be out at once.
     pub fn most_calls(&self) -> usize {
         self.specifics.max_calls
