What was heard and learned outlasts the process, in a bounded file of its own

Need: a sender that comes back went by the configuration's list and knew nothing of its partners.

daemon/memory: recall decides what an earlier process heard says beside the configuration's list (versions of one agent are compared; where the agent is another, what drained stays out until the agent says otherwise or the endpoint has started since); slices decides what is written when; notebook is the file. src/recall.rs decides what an old fact is worth: told waits, outages and ramps bind as long as they would have; limits, paces and answer times are forgotten after a ramp, the share left of a limit after a fall, and no sender starts with a turn saved up.

Tests over sockets kill senders after a drain and in a told wait, move their agent, cut their file.

--- a/src/daemon/budget.rs
+++ b/src/daemon/budget.rs
@@ -15,6 +15,9 @@
 /// Share of the memory that request bodies may fill before they are handed in.
 const BODIES_SHARE: usize = 8;
 
+/// Share of the folder that lasts that the memory's file may hold: beside the journal at its most there is this twice.
+const MEMORY_SHARE: f64 = 0.02;
+
 /// The limits that the configuration tells.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Limits {
@@ -36,6 +39,8 @@
     pub unread: usize,
     /// Bytes in the folder that lasts.
     pub disk: u64,
+    /// Bytes of them that the memory's file may hold; while it is written anew there are two.
+    pub memory_file: u64,
 }
 
 impl Budget {
@@ -54,6 +59,7 @@
             idle,
             unread,
             disk: (limits.disk_mb * 1e6) as u64,
+            memory_file: (limits.disk_mb * 1e6 * MEMORY_SHARE) as u64,
         }
     }
 }
--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -10,6 +10,9 @@
 /// What a sender is told at its start, and again at a reload.
 #[derive(Deserialize)]
 pub struct Config {
+    /// The sender's name, the same after a restart.
+    #[serde(default)]
+    pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
     /// Where operators call, if they do.
--- a/src/daemon/discovery.rs
+++ b/src/daemon/discovery.rs
@@ -104,7 +104,7 @@
         return Err(WatchError::Status(answer.status()));
     }
     let body = http_body_util::Limited::new(answer.into_body(), MOST_BYTES).collect().await;
-    let targets = serde_json::from_slice(&body.map_err(WatchError::Body)?.to_bytes())?;
+    let targets: Targets = serde_json::from_slice(&body.map_err(WatchError::Body)?.to_bytes())?;
     *kept = Some(connection);
-    Ok(targets)
+    Ok(Targets { agent: Some(agent), ..targets })
 }
--- a/src/daemon/handover.rs
+++ b/src/daemon/handover.rs
@@ -4,9 +4,8 @@
 //! The next process asks. The one at work settles, closes the journal, and gives what it has. Until the other says
 //! that it has taken it, the place is still its own: if the link ends first, the other has ended, and it goes on.
 use super::classes::Named;
+use super::memory::Memory;
 use super::ports::{Listener, Log};
-use super::targets::Member;
-use crate::Learned;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
@@ -25,7 +24,7 @@
 /// The socket's name in the folder that lasts.
 const NAME: &str = "handover.sock";
 /// What a successor says first. The number is the version of all that follows.
-const HELLO: &[u8; 19] = b"micadrum handover 1";
+const HELLO: &[u8; 19] = b"micadrum handover 2";
 /// What it says once the place is its own.
 const TAKEN: u8 = b'T';
 /// A link that says nothing for so long at its start is none.
@@ -38,10 +37,8 @@
 /// What one process leaves to the next, beside the journal.
 #[derive(Default, Serialize, Deserialize)]
 pub struct Inheritance {
-    /// The list as it last had it.
-    pub members: Vec<Member>,
-    /// By id of an endpoint: what the module learned of its own line, and of the one that it shares.
-    pub learned: Vec<(String, [Option<Learned>; 2])>,
+    /// What it heard and learned, as it would leave it to a process after a restart.
+    pub memory: Memory,
     /// All classes that its messages may be of.
     pub classes: Vec<Named>,
 }
--- a/src/daemon/host/calls.rs
+++ b/src/daemon/host/calls.rs
@@ -72,6 +72,7 @@
             };
             self.trace.call(at, &ended);
         }
+        self.slices.changed(called.endpoint);
         let heeded = called.ends.iter().any(|(_, outcome, _)| matches!(outcome, Outcome::Full(Some(_))));
         self.ended(sent, at, called.ends, called.report);
         if let Some(wait) = called.wait.filter(|_| !heeded) {
--- a/src/daemon/host/leaving.rs
+++ b/src/daemon/host/leaving.rs
@@ -78,12 +78,7 @@
         self.step();
         self.picture = None;
         let figures = Figures { inflight: 0, ..(*self.picture()).clone() };
-        let known = || self.endpoints.iter();
-        let inheritance = Inheritance {
-            members: known().map(|(_, known)| known.member.clone()).collect(),
-            learned: known().map(|(id, known)| (known.member.id.clone(), self.sender.learned(*id))).collect(),
-            classes: self.classes.named().to_vec(),
-        };
+        let inheritance = Inheritance { memory: self.memory(), classes: self.classes.named().to_vec() };
         Legacy { successor, inheritance, config: self.config, figures: Rc::new(figures) }
     }
 }
--- a/src/daemon/host/list.rs
+++ b/src/daemon/host/list.rs
@@ -1,21 +1,27 @@
 //! The list: what it tells of endpoints, and what operators say beside it.
 use super::Host;
 use crate::daemon::input::AskError;
+use crate::daemon::memory::Version;
 use crate::daemon::targets::{Member, Phase, Targets};
-use crate::{DestinationId, EndpointId, Entry, Event, Listing};
+use crate::{DestinationId, EndpointId, Entry, Event, Listing, Time};
 use std::collections::BTreeSet;
 
 /// One endpoint as the list last told of it.
 pub(super) struct Endpoint {
     pub(super) member: Member,
     pub(super) batch: usize,
+    /// When its state was heard, wall clock.
+    pub(super) heard: Time,
     /// In service, and not taken out by hand.
     pub(super) serving: bool,
 }
 
 impl Host {
     pub(super) fn targets(&mut self, targets: Targets) {
-        self.trace.list(self.now(), &targets);
+        let now = self.now();
+        self.trace.list(now, &targets);
+        let version = targets.agent.map(|agent| Version { agent, revision: targets.revision });
+        let mut news = Vec::new();
         let mut entries = Vec::with_capacity(targets.members.len());
         for member in targets.members {
             let kind = self.names.kinds.get(&member.flavor);
@@ -29,22 +35,33 @@
                 self.next_endpoint += 1;
                 id
             });
-            self.endpoints.insert(endpoint, Endpoint { member, batch, serving: true });
+            let before = self.endpoints.get(&endpoint);
+            let heard = before.filter(|at| at.member.phase == member.phase).map_or(now, |at| at.heard);
+            if before.is_none_or(|at| at.member != member) {
+                news.push(endpoint);
+            }
+            self.endpoints.insert(endpoint, Endpoint { member, batch, heard, serving: true });
             entries.extend(self.entry(endpoint));
         }
         if targets.complete {
             let listed: BTreeSet<EndpointId> = entries.iter().map(|entry| entry.endpoint).collect();
             for (endpoint, known) in &mut self.endpoints {
                 if !listed.contains(endpoint) {
-                    known.member.phase = Phase::Deleted;
+                    if known.member.phase != Phase::Deleted {
+                        (known.member.phase, known.heard) = (Phase::Deleted, now);
+                        news.push(*endpoint);
+                    }
                     if std::mem::take(&mut known.serving) {
                         self.pool.close(*endpoint);
                     }
                 }
             }
-            self.pending.push((self.now(), Event::FullList(entries)));
+            self.pending.push((now, Event::FullList(entries)));
         } else if !entries.is_empty() {
-            self.pending.push((self.now(), Event::ListChanges(entries)));
+            self.pending.push((now, Event::ListChanges(entries)));
+        }
+        if let Some(version) = version {
+            self.heard(version, news);
         }
     }
 
--- a/src/daemon/host/mod.rs
+++ b/src/daemon/host/mod.rs
@@ -6,6 +6,7 @@
 mod leaving;
 mod list;
 mod operators;
+mod remembering;
 
 use super::asking::Terms;
 use super::budget::Budget;
@@ -18,12 +19,14 @@
 use super::input::{Ask, Doors, Input};
 use super::latest::Latest;
 use super::maintenance::Maintenance;
+use super::memory::Version;
+use super::memory::notebook::Notebook;
+use super::memory::slices::Slices;
 use super::notices::Notice;
 use super::pool::Pool;
 use super::ports::Ports;
 use super::shape::Shape;
 use super::store::{End, Store};
-use super::targets::Targets;
 use super::trace::Trace;
 use crate::profile::{Names, Profile};
 use crate::{Action, EndpointId, Event, MessageId, Outcome, Sender, Settings, Span, Time};
@@ -32,6 +35,8 @@
 use leaving::WindDown;
 use list::Endpoint;
 use operators::{CLASSES, retired_classes};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -55,6 +60,13 @@
     /// The keys that a configuration holds.
     shape: Shape,
     maintenance: Maintenance,
+    /// What is written down of the list and of what was learned, and the order of work on it.
+    notebook: Notebook,
+    slices: Slices,
+    /// The list that was heard last.
+    version: Option<Version>,
+    /// From where on the agent is asked at the start.
+    asks_from: Option<u64>,
     figures: Figures,
     picture: Option<(Instant, Rc<Figures>)>,
     platform: Latest<SocketAddr>,
@@ -131,7 +143,15 @@
     ) -> Result<Self, String> {
         let Start { config, shape, seed, inheritance, figures } = start;
         let profile = &config.settings;
-        let Inheritance { members, learned, classes: earlier } = inheritance.unwrap_or_default();
+        let (notebook, remembered, unread) = Notebook::open(ports.storage.clone(), &config.name);
+        if let Some(unread) = unread {
+            ports.log.line(&unread.to_string());
+        }
+        let handed_over = inheritance.is_some();
+        let Inheritance { memory, classes: earlier } = match inheritance {
+            Some(inheritance) => inheritance,
+            None => Inheritance { memory: remembered, classes: Vec::new() },
+        };
         let names = profile.names();
         let retired = retired_classes(&*ports.storage).unwrap_or_else(|e| {
             ports.log.line(&format!("{CLASSES}: {e}; messages of classes that have gone will fail"));
@@ -160,6 +180,10 @@
             classes,
             shape,
             maintenance,
+            notebook,
+            slices: Slices::new(budget.memory_file),
+            version: None,
+            asks_from: None,
             picture: None,
             platform: links.platform,
             store,
@@ -192,19 +216,11 @@
             notices: links.notices,
         };
         host.show_classes();
-        // What the process before had is newer than the file.
-        host.targets(match members.is_empty() {
-            true => config.known.clone(),
-            false => Targets { revision: 0, complete: true, members },
-        });
-        host.step();
-        for (name, learned) in learned {
-            if let Some(id) = host.endpoint_ids.get(&name) {
-                host.sender.take_up(*id, learned);
-            }
-        }
+        let chance = (!handed_over).then(|| ChaCha8Rng::seed_from_u64(seed));
+        host.start_from(memory, &config, chance);
         host.resume();
         host.step();
+        host.begin_memory();
         Ok(host)
     }
 
@@ -235,6 +251,8 @@
             if self.step_at().is_some_and(|at| at <= now) {
                 self.step();
             }
+            // After the step: the journal's own records come first.
+            self.remember(now);
             // The doors stay open until the process ends: a client may use a connection for as long as it is open,
             // and one that it found closed sends it to a new one.
             if let Some(wind_down) = self.winding_down
@@ -265,7 +283,8 @@
     fn due(&self) -> Option<Instant> {
         let wind_down = self.winding_down.map(|w| if Instant::now() < w.quiet { w.quiet } else { w.end });
         let successor = self.successor.as_ref().map(|(_, end)| *end);
-        self.step_at().into_iter().chain(wind_down).chain(successor).min()
+        let memory = self.memory_due().map(|at| self.clock.instant(at));
+        self.step_at().into_iter().chain(wind_down).chain(successor).chain(memory).min()
     }
 
     fn take_in(&mut self, input: Input) {
--- /dev/null
+++ b/src/daemon/host/remembering.rs
@@ -0,0 +1,144 @@
+//! What outlasts the process beside the journal: what it starts from, and what it writes down as it goes.
+use super::Host;
+use crate::daemon::config::Config;
+use crate::daemon::memory::recall::{Recalled, recall};
+use crate::daemon::memory::slices::Next;
+use crate::daemon::memory::{Known, Memory, Version};
+use crate::daemon::targets::Targets;
+use crate::{EndpointId, Learned, Time};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::RngCore;
+use std::io;
+use tokio::time::Instant;
+
+impl Host {
+    /// Goes by the configuration's list and what an earlier process left. With `chance` that was a restart: what was
+    /// learned has aged, and others start too; without, it is this very moment's.
+    pub(super) fn start_from(&mut self, memory: Memory, config: &Config, mut chance: Option<ChaCha8Rng>) {
+        let known = Targets { agent: Some(config.discovery), ..config.known.clone() };
+        let now = self.now();
+        let before = memory.version;
+        let Recalled { members, from, learned, held_out } = recall(memory, &known, now);
+        if held_out > 0 {
+            self.log(&format!("{held_out} endpoints stay out: they were heard to drain or to be gone"));
+        }
+        let (members, heard): (Vec<_>, Vec<_>) = members.into_iter().unzip();
+        let names: Vec<String> = members.iter().map(|member| member.id.clone()).collect();
+        self.targets(Targets { agent: None, revision: known.revision, complete: true, members });
+        for (name, heard) in names.iter().zip(heard) {
+            if let Some(at) = self.endpoint_ids.get(name).and_then(|id| self.endpoints.get_mut(id)) {
+                at.heard = heard;
+            }
+        }
+        let newer =
+            before.filter(|version| Some(version.revision) == from && Some(version.agent) == known.agent);
+        let revision = known.revision;
+        self.version = newer.or(from.map(|_| Version { agent: config.discovery, revision }));
+        self.asks_from = from;
+        self.step();
+        for (name, lines, written) in learned {
+            let Some(id) = self.endpoint_ids.get(&name) else { continue };
+            let mut worth = |line: Learned| match &mut chance {
+                Some(random) => {
+                    let chance = f64::from(random.next_u32()) / f64::from(u32::MAX);
+                    line.recalled(written, now, chance, &self.settings)
+                }
+                None => line,
+            };
+            let lines = lines.map(|line| line.map(&mut worth));
+            self.sender.take_up(*id, lines);
+        }
+    }
+
+    /// From where on the agent is asked at the start; none for the whole list.
+    pub fn asks_from(&self) -> Option<u64> {
+        self.asks_from
+    }
+
+    /// The list has led to that version, with news of these endpoints: written down before anything follows from it.
+    pub(super) fn heard(&mut self, version: Version, news: Vec<EndpointId>) {
+        if self.version == Some(version) && news.is_empty() {
+            return;
+        }
+        self.version = Some(version);
+        let done = self.write_down(news, Some(version));
+        self.remembered(done);
+    }
+
+    /// Writes all of it down in a file of its own, before anybody is served: news goes to a file that has all else.
+    pub(super) fn begin_memory(&mut self) {
+        let done = self.begin_file().and_then(|ids| {
+            self.write_down(ids, None)?;
+            self.finish_file()
+        });
+        self.remembered(done);
+    }
+
+    /// When the next slice is due, if there is one: only with all that has happened learned from.
+    pub(super) fn memory_due(&self) -> Option<Time> {
+        self.slices.due().filter(|_| self.pending.is_empty())
+    }
+
+    /// A slice of what has changed, if it is time for one.
+    pub(super) fn remember(&mut self, at: Instant) {
+        let now = self.clock.at(at);
+        if self.memory_due().is_none() {
+            return;
+        }
+        let Some(next) = self.slices.next(now) else { return };
+        let done = match next {
+            _ if !self.store.has_room() => Err(io::ErrorKind::StorageFull.into()),
+            Next::Begin => self.begin_file().map(drop),
+            Next::Write(ids) => self.write_down(ids, None),
+            Next::Finish if self.slices.anew() => self.finish_file(),
+            Next::Finish => Ok(()),
+        };
+        self.remembered(done);
+    }
+
+    /// All of it, for a next process on this machine.
+    pub(super) fn memory(&self) -> Memory {
+        let now = self.now();
+        let endpoints = self.endpoints.keys().filter_map(|id| self.known(*id, now));
+        let endpoints = endpoints.map(|known| (known.member.id.clone(), known)).collect();
+        Memory { version: self.version, whole: true, endpoints }
+    }
+
+    fn known(&self, id: EndpointId, now: Time) -> Option<Known> {
+        let at = self.endpoints.get(&id)?;
+        let learned = self.sender.learned(id);
+        Some(Known { member: at.member.clone(), heard: at.heard, learned, written: now })
+    }
+
+    /// A new file, and what goes into it: first what binds.
+    fn begin_file(&mut self) -> io::Result<Vec<EndpointId>> {
+        let bytes = self.notebook.begin()?;
+        let now = self.now();
+        let mut ids: Vec<EndpointId> = self.endpoints.keys().copied().collect();
+        ids.sort_by_cached_key(|id| self.known(*id, now).is_none_or(|known| !known.binds(now)));
+        self.slices.begun(bytes, ids.clone());
+        Ok(ids)
+    }
+
+    fn finish_file(&mut self) -> io::Result<()> {
+        let whole = self.slices.finished();
+        self.notebook.finish(self.version, whole)
+    }
+
+    fn write_down(&mut self, ids: Vec<EndpointId>, version: Option<Version>) -> io::Result<()> {
+        let now = self.now();
+        let known: Vec<Known> = ids.into_iter().filter_map(|id| self.known(id, now)).collect();
+        let slices = &mut self.slices;
+        let bytes = self.notebook.write(known.into_iter(), version, |bytes| slices.fits(bytes))?;
+        slices.wrote(bytes);
+        Ok(())
+    }
+
+    /// Where it could not be written down, its room is the journal's: nothing of it is owed to anybody.
+    fn remembered(&mut self, done: io::Result<()>) {
+        let Err(e) = done else { return };
+        self.notebook.give_up();
+        self.slices.given_up(self.now());
+        self.log(&format!("memory: given up for now: {e}"));
+    }
+}
--- /dev/null
+++ b/src/daemon/memory/mod.rs
@@ -0,0 +1,53 @@
+//! What one process of a sender leaves to the next, beside the journal: what it heard of endpoints, and what it learned.
+//!
+//! [`Memory`] is the form of both a restart and a handover. [`recall`] decides what it says beside the configuration's own
+//! list, [`slices`] what is written down when; [`notebook`] is the file.
+pub mod notebook;
+pub mod recall;
+pub mod slices;
+
+use super::targets::{Member, Phase};
+use crate::{Learned, Time};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// What was heard and learned of one endpoint.
+#[derive(Clone, Serialize, Deserialize)]
+pub struct Known {
+    /// As the list last told of it.
+    pub member: Member,
+    /// When its state was heard, wall clock.
+    pub heard: Time,
+    /// What the module learned of its own line, and of the one that it shares.
+    pub learned: [Option<Learned>; 2],
+    /// When that was so.
+    pub written: Time,
+}
+
+impl Known {
+    /// Whether a rule follows from it at `now`: it is kept before what is only of use.
+    pub fn binds(&self, now: Time) -> bool {
+        self.member.phase != Phase::Serving || self.learned.iter().flatten().any(|line| line.binds(now))
+    }
+}
+
+/// Which list it was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Version {
+    /// The agent whose list it was: another counts its versions by itself.
+    pub agent: SocketAddr,
+    /// Its version.
+    pub revision: u64,
+}
+
+/// All of it.
+#[derive(Clone, Default, Serialize, Deserialize)]
+pub struct Memory {
+    /// The list that was heard last.
+    pub version: Option<Version>,
+    /// Whether all endpoints of that list are among these: there may have been no room.
+    pub whole: bool,
+    /// By id.
+    pub endpoints: BTreeMap<String, Known>,
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,12 +10,14 @@
 mod connection;
 mod discovery;
 mod figures;
+mod frame;
 mod handover;
 mod host;
 mod input;
 mod latest;
 mod maintenance;
 mod management;
+mod memory;
 mod notices;
 mod over;
 mod pool;
@@ -141,12 +143,11 @@
         let links =
             Links { inputs: inputs.clone(), notices, doors: doors.clone(), platform: platform.clone() };
         let start = Start { config: config.clone(), shape: shape.clone(), seed, inheritance, figures };
-        // What a process before had may be newer than the file, and tells no revision.
-        let known = start.inheritance.is_none().then_some(config.known.revision);
         let host = Host::new(start, store, links, budget, ports.clone()).map_err(StartError::Settings)?;
         let mut with_platform = JoinSet::new();
         let asking = Asking::new(host.asking(), seed);
-        let watch = discovery::watch(platform.clone(), known, asking, inputs.clone(), ports.clone());
+        let watch =
+            discovery::watch(platform.clone(), host.asks_from(), asking, inputs.clone(), ports.clone());
         with_platform.spawn_local(watch);
         with_platform.spawn_local(notices::run(platform.clone(), queue, inputs.clone(), ports.clone()));
         // Only now: a sender that can be reached has taken up what it owes.
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -2,6 +2,7 @@
 //!
 //! Each record is framed by its length and a checksum over both. `write` is enough, without a sync: the
 //! folder is lost only with the machine, and then its messages are handed to others.
+use super::frame::{frame, unframe};
 use super::over::Over;
 use super::ports::{AppendFile, Storage};
 use bytes::Bytes;
@@ -17,13 +18,10 @@
 /// A file that only takes up room, given up where a full disk would keep an end from being written down: a
 /// message whose end is not in the journal would go out once more after a restart.
 const RESERVE: &str = "messages.reserve";
-const HEADER: usize = 8;
 /// A successor is written in pieces of about this size.
 const SLICE: usize = 64 * 1024;
 /// Ids that one record holds at the most: they are 1 KiB at the longest.
 const OVER_IN_RECORD: usize = 200;
-/// No record is longer: a message's body is 64 KiB at most, its headers are bounded by the server.
-const MOST_RECORD: usize = 256 * 1024;
 /// Room that a message takes in a compact file besides its text and body: frame, numbers, two attempts.
 const OVERHEAD: u64 = 256;
 /// What is owed may fill this share of the disk. While the file is written anew, old and new stand side by side:
@@ -41,6 +39,9 @@
 /// With the file past this share, writing it anew has failed: nothing more is taken on.
 const FILE_MOST: f64 = 0.55;
 
+/// With the file and what it would be written anew past this share, the folder holds nothing else.
+const ROOM_BESIDE: f64 = 0.8;
+
 /// How a message ended that was not delivered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum End {
@@ -147,38 +148,6 @@
     room: Vec<u8>,
 }
 
-/// Adds a framed record to `bytes`.
-fn frame(record: &Record, mut bytes: Vec<u8>) -> io::Result<Vec<u8>> {
-    let start = bytes.len();
-    bytes.extend([0; HEADER]);
-    let mut bytes = postcard::to_extend(record, bytes).map_err(io::Error::other)?;
-    let frame = &mut bytes[start..];
-    let length = u32::try_from(frame.len() - HEADER).map_err(io::Error::other)?;
-    frame[..4].copy_from_slice(&length.to_le_bytes());
-    let sum = checksum(&frame[..4], &frame[HEADER..]);
-    frame[4..HEADER].copy_from_slice(&sum.to_le_bytes());
-    Ok(bytes)
-}
-
-fn checksum(length: &[u8], payload: &[u8]) -> u32 {
-    let mut sum = crc32fast::Hasher::new();
-    sum.update(length);
-    sum.update(payload);
-    sum.finalize()
-}
-
-/// The record at the start of `bytes` and its framed length, if a whole and sound one stands there.
-fn unframe(bytes: &[u8]) -> Option<(Record, usize)> {
-    let (length, rest) = bytes.split_first_chunk::<4>()?;
-    let (sum, rest) = rest.split_first_chunk::<4>()?;
-    let size = u32::from_le_bytes(*length) as usize;
-    let payload = rest.get(..size).filter(|_| size <= MOST_RECORD)?;
-    if checksum(length, payload) != u32::from_le_bytes(*sum) {
-        return None;
-    }
-    Some((postcard::from_bytes(payload).ok()?, HEADER + size))
-}
-
 impl Store {
     /// Opens the journal in `folder`, or begins one, and brings back what it holds. Damage is reported, and
     /// never keeps a sender from starting: what can still be read is still owed.
@@ -371,6 +340,12 @@
         }
     }
 
+    /// Whether there is room beside the journal for what is only of use: it has its reserve, and would fit beside itself
+    /// written anew.
+    pub fn has_room(&self) -> bool {
+        self.reserved && self.length + self.owed_bytes + self.over.bytes() < self.share(ROOM_BESIDE)
+    }
+
     /// What went wrong when the file was last to be written anew, told once: the old one stays.
     pub fn failed_compaction(&mut self) -> Option<io::Error> {
         self.failed_compaction.take()
--- a/src/daemon/targets.rs
+++ b/src/daemon/targets.rs
@@ -5,6 +5,9 @@
 /// A version of the list, or the changes that led to it.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Targets {
+    /// Whose list it is: versions are counted by an agent.
+    #[serde(skip)]
+    pub agent: Option<SocketAddr>,
     /// Its version.
     pub revision: u64,
     /// Whether it is the whole list.
@@ -14,7 +17,7 @@
 }
 
 /// One endpoint of the list.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     /// The same at every sender.
     pub id: String,
@@ -31,6 +34,9 @@
     /// Capacity hint.
     #[serde(default)]
     pub size: f64,
+    /// When it last started, Unix time in milliseconds; 0 for long ago.
+    #[serde(default)]
+    pub up_since_ms: u64,
 }
 
 /// What the list says of an endpoint.
--- a/src/daemon/trace.rs
+++ b/src/daemon/trace.rs
@@ -63,7 +63,7 @@
     /// News of the list.
     pub fn list(&self, at: Time, targets: &Targets) {
         let Some(log) = &self.0 else { return };
-        let Targets { revision, complete, members } = targets;
+        let Targets { revision, complete, members, .. } = targets;
         log.line(&format!(
             "trace list at={} revision={revision} whole={complete} entries={}",
             at.0,
--- a/src/decision/line.rs
+++ b/src/decision/line.rs
@@ -28,28 +28,28 @@
     pub(crate) destination: DestinationId,
     pub(crate) endpoint: Option<EndpointId>,
     pub(crate) told_until: Time,
-    pub(super) hold_until: Time,
-    pub(super) flow: Flow,
+    pub(crate) hold_until: Time,
+    pub(crate) flow: Flow,
     #[serde(skip)] // as it was last worked out
     seen: Cell<Flow>,
-    streak: u32,
+    pub(crate) streak: u32,
     /// When two calls in a row failed last: single ones are chance, as a spoilt answer or a reset is.
-    pub(super) doubted: Option<Time>,
-    fulls: u32,
-    pub(super) latency: f64,
-    deviation: f64,
+    pub(crate) doubted: Option<Time>,
+    pub(crate) fulls: u32,
+    pub(crate) latency: f64,
+    pub(crate) deviation: f64,
     #[serde(skip)] // calls that are out, oldest first
     pub(crate) out: BTreeMap<u64, Time>,
-    pub(super) last_answer: Time,
-    last_success: Time,
-    last_refusal: Time,
+    pub(crate) last_answer: Time,
+    pub(crate) last_success: Time,
+    pub(crate) last_refusal: Time,
     /// The limit as it was last told, over how many lines it goes, whether they wait for each other by it.
-    limit: f64,
+    pub(crate) limit: f64,
     #[serde(default)]
     lines: usize,
     /// The share of it that was then left.
     #[serde(default)]
-    left: f64,
+    pub(crate) left: f64,
     #[serde(default)]
     gate: bool,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 mod observe;
 mod pacing;
 pub mod profile;
+mod recall;
 
 pub use decision::Sender;
 pub use interface::*;
--- a/src/observe.rs
+++ b/src/observe.rs
@@ -18,7 +18,7 @@
 
 /// What was learned of one line: of a route, or of a destination whose endpoints share a limit.
 #[derive(Clone, Serialize, Deserialize)]
-pub struct Learned(Line);
+pub struct Learned(pub(crate) Line);
 
 impl Sender {
     /// What was learned of an endpoint's own line, and of the one that it shares, for the next process.
@@ -39,6 +39,8 @@
             if let (Some(place), Some(Learned(mut line))) = (place, learned) {
                 let own = self.directory.line_mut(place);
                 (line.destination, line.endpoint) = (own.destination, own.endpoint);
+                // What the list hints at is better than nothing known.
+                line.limit = if line.limit > 0.0 { line.limit } else { own.limit };
                 *own = line;
             }
         }
--- /dev/null
+++ b/src/recall.rs
@@ -0,0 +1,192 @@
+//! What an earlier process learned of a line, and what of it is still worth something. Free of I/O and clocks.
+//!
+//! Two kinds of thing are remembered. What a rule follows from binds as long as it would have bound that process: a told
+//! wait, an outage that was seen, where the ramp of a return stands. Estimates are of the moment: what was left of a limit
+//! is worth nothing after a `fall`, limits, paces and answer times nothing after a `ramp`.
+use crate::interface::since;
+use crate::observe::Learned;
+use crate::pacing::Health;
+use crate::{Settings, Span, Time};
+
+impl Learned {
+    /// What it is worth `now`, to a process that starts now, if it was written down `written`. `chance`, from 0 to 1, sets
+    /// senders apart that start together: none has a turn saved up.
+    pub fn recalled(mut self, written: Time, now: Time, chance: f64, s: &Settings) -> Self {
+        // A clock that was set back, or a file from the future: as if it had been written just now.
+        self.earlier(Span(since(written, now)));
+        let age = since(now, written);
+        let line = &mut self.0;
+        line.flow = line.flow(now, s);
+        line.flow.health = match line.flow.health {
+            // Trials that came due while nobody was there would all be made at once by those who start together: the time
+            // since is waited once more, so that they come as far apart as they were due.
+            Health::Down(due) => Health::Down(Time(now.0 + since(now, due).min(s.rules.ramp.0))),
+            other => other,
+        };
+        if age >= s.rules.ramp.0 {
+            (line.latency, line.deviation, line.limit) = (0.0, 0.0, 0.0);
+            (line.streak, line.fulls, line.doubted) = (0, 0, None);
+            (line.flow.rate, line.flow.pace) = (0.0, f64::INFINITY);
+        }
+        line.left *= 1.0 - (age as f64 / s.rules.fall.0.max(1) as f64).min(1.0);
+        line.flow.tokens = line.flow.tokens.min(chance.clamp(0.0, 1.0));
+        self
+    }
+
+    /// Whether a rule follows from it at `now`, so that it is kept before mere estimates.
+    pub fn binds(&self, now: Time) -> bool {
+        self.0.told_until > now || self.0.flow.health != Health::Up
+    }
+
+    /// All of its moments, so much earlier.
+    fn earlier(&mut self, by: Span) {
+        if by.0 == 0 {
+            return;
+        }
+        let line = &mut self.0;
+        let back = |time: &mut Time| time.0 = time.0.saturating_sub(by.0);
+        let moments = [
+            &mut line.told_until,
+            &mut line.hold_until,
+            &mut line.last_answer,
+            &mut line.last_success,
+            &mut line.last_refusal,
+            &mut line.flow.at,
+        ];
+        moments.into_iter().for_each(back);
+        line.doubted.as_mut().map(back);
+        if let Health::Down(at) | Health::Returning(at) = &mut line.flow.health {
+            back(at);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::decision::line::Line;
+    use crate::{Class, Decay, DestinationId, Discovery, EndpointId, Hints, Kind, Repeat, Rules, ZoneId};
+
+    const S: u64 = 1_000_000;
+    const NOW: Time = Time(100_000 * S);
+
+    fn settings() -> Settings {
+        let class = Class {
+            aim: Span(2 * S),
+            deadline: Span(16 * S),
+            worth: 1.0,
+            late_worth: 0.5,
+            repeat: Repeat::Safe,
+            ordered: false,
+        };
+        Settings {
+            classes: vec![class],
+            kinds: vec![Kind { routes_apart: false, batch: 1 }],
+            tenants: vec![],
+            over_share_worth: 1.0,
+            zone: ZoneId(0),
+            senders: 300,
+            slots: 4,
+            most_held: 50,
+            max_attempts: 6,
+            period: Span(5_000),
+            connect_timeout: Span(S),
+            decay: Decay::Even,
+            discovery: Discovery::Pushed,
+            hints: Hints::None,
+            probes: false,
+            cancel: true,
+            ends_noticed: false,
+            calls_expire_whole: false,
+            rules: Rules {
+                drain_grace: Span(S),
+                cold_share: 0.2,
+                ramp: Span(11 * S),
+                overload_factor: 2.0,
+                fall: Span(1_500_000),
+                order_settle: Span(0),
+                must_ask_in: Span(10 * S),
+            },
+        }
+    }
+
+    fn line() -> Line {
+        let mut line = Line::default();
+        (line.destination, line.endpoint) = (DestinationId(1), Some(EndpointId(1)));
+        (line.latency, line.limit, line.left) = (80_000.0, 120.0, 1.0);
+        (line.flow.at, line.flow.rate, line.flow.pace, line.flow.tokens) = (NOW, 3.0, 2.0, 1.0);
+        line
+    }
+
+    fn recalled(line: Line, age: u64) -> Line {
+        Learned(line).recalled(NOW, Time(NOW.0 + age), 0.25, &settings()).0
+    }
+
+    /// Guards against a process that sends during a wait that its predecessor was told, or forgets an outage or where a
+    /// ramp stands, however long it was away.
+    #[test]
+    fn what_binds_does_not_fade() {
+        let wait = Time(NOW.0 + 90 * S);
+        for age in [0, S / 2, 5 * S, 60 * S] {
+            let mut told = line();
+            (told.told_until, told.flow.health) = (wait, Health::Down(Time(NOW.0 + 2 * S)));
+            let told = recalled(told, age);
+            assert_eq!(told.told_until, wait);
+            let Health::Down(trial) = told.flow.health else { panic!("{age}: the outage is forgotten") };
+            assert!(trial.0 >= NOW.0 + age, "no trial was due before there was a process");
+            assert!(Learned(told).binds(Time(NOW.0 + age)));
+        }
+        let ramp = settings().rules.ramp.0;
+        for (age, back) in [(0, false), (ramp / 2, false), (ramp, true)] {
+            let mut returning = line();
+            returning.flow.health = Health::Returning(NOW);
+            let health = recalled(returning, age).flow.health;
+            assert_eq!(health, if back { Health::Up } else { Health::Returning(NOW) }, "{age}");
+        }
+    }
+
+    /// Guards against acting on what was true of a moment long past.
+    #[test]
+    fn estimates_fade_with_age() {
+        let rules = settings().rules;
+        let fresh = recalled(line(), 0);
+        assert_eq!((fresh.limit, fresh.left, fresh.flow.tokens), (120.0, 1.0, 0.25));
+        let later = recalled(line(), rules.fall.0 / 2);
+        assert!((later.left - 0.5).abs() < 1e-9 && later.limit == 120.0);
+        assert_eq!(recalled(line(), rules.fall.0).left, 0.0);
+        let old = recalled(line(), rules.ramp.0);
+        assert_eq!((old.limit, old.latency, old.flow.rate), (0.0, 0.0, 0.0));
+        assert!(old.flow.pace.is_infinite() && !Learned(old).binds(Time(NOW.0 + rules.ramp.0)));
+    }
+
+    /// Guards against a fleet whose trials of what is down, due while it was away, all come in the moment it is back.
+    #[test]
+    fn trials_that_came_due_meanwhile_stay_apart() {
+        let away = 3 * S;
+        let trials: Vec<u64> = (0..30)
+            .map(|n| {
+                let mut down = line();
+                down.flow.health = Health::Down(Time(NOW.0 + n * S / 10));
+                let Health::Down(at) = recalled(down, away).flow.health else { panic!("forgotten") };
+                at.0 - NOW.0 - away
+            })
+            .collect();
+        let mut sorted = trials.clone();
+        sorted.sort_unstable();
+        sorted.dedup();
+        assert_eq!(sorted.len(), trials.len(), "{trials:?}");
+        assert!(sorted[29] - sorted[0] >= 2 * S, "{sorted:?}");
+    }
+
+    /// Guards against a wait or a trial that binds for hours, because the clock was set back between two processes.
+    #[test]
+    fn a_clock_that_was_set_back_lengthens_nothing() {
+        let mut told = line();
+        (told.told_until, told.flow.health) = (Time(NOW.0 + 2 * S), Health::Down(Time(NOW.0 + S)));
+        let now = Time(NOW.0 - 3_600 * S);
+        let told = Learned(told).recalled(NOW, now, 0.25, &settings()).0;
+        assert_eq!(told.told_until, Time(now.0 + 2 * S));
+        assert!(matches!(told.flow.health, Health::Down(at) if at.0 <= now.0 + S), "{:?}", told.flow.health);
+        assert_eq!(told.flow.at, now);
+    }
+}
--- a/tests/sockets/handover.rs
+++ b/tests/sockets/handover.rs
@@ -106,7 +106,7 @@
     // It ends before it reads, after the length that brings the listening socket, or after some of the rest.
     for (n, reads) in [vec![], vec![8], vec![8, 56]].into_iter().enumerate() {
         let mut next = UnixStream::connect(&socket).await.unwrap();
-        next.write_all(b"micadrum handover 1").await.unwrap();
+        next.write_all(b"micadrum handover 2").await.unwrap();
         for bytes in reads {
             let read = timeout(PATIENCE, next.read_exact(&mut vec![0; bytes])).await;
             read.expect("what the old process leaves").unwrap();
@@ -144,7 +144,7 @@
     assert_eq!(node.hand_in("told", "keyed", "").await.status(), 202);
     let call = endpoint.call().await;
     let mut next = UnixStream::connect(&socket).await.unwrap();
-    next.write_all(b"micadrum handover 1").await.unwrap();
+    next.write_all(b"micadrum handover 2").await.unwrap();
     // By now it settles, for as long as this call is out.
     tokio::time::sleep(Duration::from_millis(100)).await;
     let told = Instant::now();
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 mod calls;
 mod clients;
 mod handover;
+mod memory;
 mod operators;
 mod restarts;
 mod watch;
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -339,6 +339,16 @@
         self.signal("HUP");
     }
 
+    /// Changes what the next process is told.
+    pub fn change(&mut self, change: impl FnOnce(&mut Value)) {
+        change(&mut self.config);
+    }
+
+    /// A file in the folder that lasts.
+    pub fn lasting(&self, name: &str) -> std::path::PathBuf {
+        self.folder.path().join(name)
+    }
+
     /// The configuration as it was last written whole.
     pub fn config(&self) -> Value {
         self.config.clone()
