Rehearsals of a large fleet: overbooked discovery, agents that move, limits that fall

Scenarios take discovery = "on-request" and discovery_bears: a call that would wait longer than 2 s is turned away after 2 s, a watch that goes on costs nothing. What counts as told follows PROTOCOL and WIRE: pushed, what the agent has (4 s after a move); on request, what was listed ten seconds ago to who has not asked since, four times that after a call in vain. New faults: move-discovery (the agent listens elsewhere and counts anew, SIGHUP says where) and limit-falls.

Senders that are told a wrong address of discovery are convicted of Drain where the list comes on request.

--- a/crates/micadrum-rehearsal/src/live.rs
+++ b/crates/micadrum-rehearsal/src/live.rs
@@ -76,6 +76,7 @@
 
 enum Stop {
     Terminate,
+    Reload,
     Kill,
 }
 
@@ -97,6 +98,12 @@
     nodes: Vec<Node>,
 }
 
+async fn signal(name: &str, process: u32) {
+    if let Err(e) = Command::new("kill").args([name, &process.to_string()]).status().await {
+        eprintln!("kill: {e}");
+    }
+}
+
 impl LiveFleet {
     async fn spawn(&self, sender: u32, config: serde_json::Value) -> io::Result<SocketAddr> {
         let node = &self.nodes[sender as usize];
@@ -134,13 +141,9 @@
                     status = child.wait() => break status.is_ok_and(|status| status.success()),
                     Some(stop) = stops.recv() => match (stop, child.id()) {
                         (Stop::Kill, _) => drop(child.start_kill()),
-                        (Stop::Terminate, Some(id)) => {
-                            let kill = Command::new("kill").args(["-TERM", &id.to_string()]).status().await;
-                            if let Err(e) = kill {
-                                eprintln!("kill: {e}");
-                            }
-                        }
-                        (Stop::Terminate, None) => {}
+                        (Stop::Terminate, Some(id)) => signal("-TERM", id).await,
+                        (Stop::Reload, Some(id)) => signal("-HUP", id).await,
+                        (Stop::Terminate | Stop::Reload, None) => {}
                     },
                 }
             };
@@ -175,6 +178,14 @@
         self.stop(sender, Stop::Terminate);
     }
 
+    fn reload(&self, sender: u32, config: serde_json::Value) {
+        let file = self.nodes[sender as usize].folder.path().join("config.json");
+        match std::fs::write(&file, config.to_string()) {
+            Ok(()) => self.stop(sender, Stop::Reload),
+            Err(e) => eprintln!("{}: {e}", file.display()),
+        }
+    }
+
     fn kill(&self, sender: u32) {
         self.stop(sender, Stop::Kill);
     }
--- a/crates/micadrum-rehearsal/src/plan.rs
+++ b/crates/micadrum-rehearsal/src/plan.rs
@@ -97,6 +97,8 @@
 pub const MAX_ATTEMPTS: u32 = 6;
 /// Sends to a draining endpoint must stop within this.
 pub const DRAIN_GRACE: Span = Span::seconds(1);
+/// Where the list comes on request, who has not asked for so long counts as told; four times that after a call in vain.
+pub const MUST_ASK_IN: Span = Span::seconds(10);
 /// Share of its capacity that a partner has when it comes back ...
 pub const COLD_SHARE: f64 = 0.19;
 /// ... and all of it after this.
@@ -602,7 +604,11 @@
             add(format!("senders {:?}", self.senders));
         }
         match self.kind {
-            FaultKind::Full | FaultKind::Errors | FaultKind::Spoil | FaultKind::Reset => {
+            FaultKind::Full
+            | FaultKind::Errors
+            | FaultKind::Spoil
+            | FaultKind::Reset
+            | FaultKind::LimitFalls => {
                 add(format!("{:.0}% of the calls", self.calls * 100.0));
             }
             FaultKind::Late | FaultKind::ListLag | FaultKind::LinkDelay => add(format!("by {}", self.delay)),
--- a/crates/micadrum-rehearsal/src/scenario.rs
+++ b/crates/micadrum-rehearsal/src/scenario.rs
@@ -43,6 +43,11 @@
     /// The folder that lasts, for each sender.
     #[serde(default = "default_disk")]
     pub disk_mb: f64,
+    /// How the list comes.
+    #[serde(default)]
+    pub discovery: Discovery,
+    /// Calls a second that discovery bears where the list comes on request; without it, any number.
+    pub discovery_bears: Option<Rate>,
     /// How late the list reaches the senders, at the most.
     #[serde(default = "default_list_delay")]
     pub list_delay: Span,
@@ -57,6 +62,17 @@
     pub fault: Vec<Spanned<Fault>>,
 }
 
+/// How the list reaches the senders.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Discovery {
+    /// To the agent on each sender's machine, by itself.
+    #[default]
+    Pushed,
+    /// Only to those who ask, by calls that cost discovery.
+    OnRequest,
+}
+
 /// A stretch with more (or less) traffic.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -94,6 +110,8 @@
     Vanish,
     /// Processes of partners die: connections are refused.
     Die,
+    /// A share of the partners' limits stays.
+    LimitFalls,
     /// Endpoints drain, end, and are replaced by others.
     Drain,
     /// Endpoints move to another address under their id.
@@ -104,6 +122,8 @@
     ListLag,
     /// Discovery says nothing.
     ListSilent,
+    /// The agents of senders move and count anew; a new configuration says where.
+    MoveDiscovery,
     /// The list names endpoints that do not exist.
     DeadHosts,
     /// The platform acknowledges no notices.
@@ -163,7 +183,7 @@
     pub share: Option<Percent>,
     /// Only endpoints, or senders, in this building.
     pub building: Option<String>,
-    /// Share of the calls that is struck.
+    /// Share of the calls that is struck; of the limit that stays.
     pub calls: Option<Percent>,
     /// Senders that are struck, by number from 0.
     pub senders: Option<Vec<u32>>,
@@ -254,8 +274,11 @@
             Self::Hang | Self::Shut | Self::Vanish | Self::Die | Self::DeadHosts => (&["for"], STRUCK),
             Self::Late => (&["for", "delay"], STRUCK),
             Self::Stall => (&["for", "pause", "every"], STRUCK),
-            Self::Full | Self::Errors | Self::Spoil | Self::Reset => (&["for", "calls"], STRUCK),
+            Self::Full | Self::Errors | Self::Spoil | Self::Reset | Self::LimitFalls => {
+                (&["for", "calls"], STRUCK)
+            }
             Self::Drain | Self::Move | Self::Rename => (&[], STRUCK),
+            Self::MoveDiscovery => (&[], SENDERS),
             Self::ListLag => (&["for", "delay"], &[]),
             Self::ListSilent => (&["for"], SENDERS),
             Self::Deaf | Self::DiskFull => (&["for"], SENDERS),
--- a/crates/micadrum-rehearsal/src/sim/mod.rs
+++ b/crates/micadrum-rehearsal/src/sim/mod.rs
@@ -127,6 +127,13 @@
         }
     }
 
+    fn reload(&self, sender: u32, config: serde_json::Value) {
+        if let Some(running) = &*self.nodes[sender as usize].running.borrow() {
+            let config = Config::parse(config.to_string().as_bytes()).map(Box::new);
+            let _ = running.signals.send(Signal::Reload(config.map_err(|e| e.to_string())));
+        }
+    }
+
     fn kill(&self, sender: u32) {
         if let Some(running) = &*self.nodes[sender as usize].running.borrow() {
             running.process.kill();
--- a/crates/micadrum-rehearsal/src/world/faults.rs
+++ b/crates/micadrum-rehearsal/src/world/faults.rs
@@ -113,6 +113,26 @@
             platform::publish(world);
         }
         FaultKind::Drain => drain(world, fault).await,
+        FaultKind::MoveDiscovery => {
+            for sender in &fault.senders {
+                if let Err(e) = platform::move_agent(world, *sender).await {
+                    eprintln!("agent of sender {sender}: {e}");
+                }
+            }
+        }
+        FaultKind::LimitFalls => {
+            let limit = |share| {
+                for endpoint in &fault.endpoints {
+                    let partner = world.endpoints.borrow()[*endpoint as usize].partner as usize;
+                    let mut partners = world.partners.borrow_mut();
+                    let line = partners[partner].line(*endpoint);
+                    partners[partner].set_limit(line, share);
+                }
+            };
+            limit(fault.calls);
+            world.until(until).await;
+            limit(1.0);
+        }
         _ => {
             change(world, fault, |condition| set(condition, fault, begun));
             world.until(until).await;
--- a/crates/micadrum-rehearsal/src/world/mod.rs
+++ b/crates/micadrum-rehearsal/src/world/mod.rs
@@ -10,9 +10,10 @@
 use crate::observation::{At, Seen};
 use crate::plan::{
     AIM, COLD_SHARE, CONNECT_TIMEOUT, Class, DRAIN_GRACE, FALL, KEY_WINDOW, LATE_WORTH, MAX_ATTEMPTS,
-    OVERLOAD_FACTOR, Plan, RAMP, TENANTS,
+    MUST_ASK_IN, OVERLOAD_FACTOR, Plan, RAMP, TENANTS,
 };
 use crate::recorder::Recorder;
+use crate::scenario::Discovery;
 use crate::wire::{Host, Wire};
 use model::{Condition, PartnerModel};
 use platform::Agent;
@@ -138,6 +139,8 @@
     ghosts: RefCell<Vec<(u32, String)>>,
     revision: Cell<u64>,
     list_lag: Cell<Duration>,
+    /// When discovery has answered all who are in line.
+    discovery_free: Cell<At>,
     next_call: Cell<u64>,
     next_line: Cell<u32>,
 }
@@ -193,6 +196,7 @@
             ghosts: RefCell::default(),
             revision: Cell::new(1),
             list_lag: Cell::default(),
+            discovery_free: Cell::default(),
             next_call: Cell::new(0),
             next_line: Cell::new(lines),
             plan,
@@ -295,13 +299,16 @@
             "known": known,
             "settings": {
                 "azs": buildings, "zone": buildings[plan.senders[sender as usize].building],
-                "discovery": "pushed", "fleet_size": senders, "kinds": ["bank", "fleet", "leasing"],
+                "discovery": match scenario.discovery {
+                    Discovery::Pushed => "pushed",
+                    Discovery::OnRequest => "on_request",
+                }, "fleet_size": senders, "kinds": ["bank", "fleet", "leasing"],
                 "lanes": [lane(Class::Charge, "fragile"), lane(Class::TripRecord, "dedup")],
                 "limits": {"cancel": true, "connect_timeout": CONNECT_TIMEOUT.0, "conn_idle": endpoints::IDLE,
                     "max_attempts": MAX_ATTEMPTS, "most_held": held, "probes": false},
                 "invariants": {"drain_grace": DRAIN_GRACE.0, "cold_share": COLD_SHARE, "ramp_time": RAMP.0,
                     "overload_factor": OVERLOAD_FACTOR, "fall": FALL.0, "order_settle": 0,
-                    "must_ask_in": 10_000_000},
+                    "must_ask_in": MUST_ASK_IN.0},
                 "specifics": {"bundle_max": [5, 1, 1], "kind_apart": [true, false, false], "decay": "even",
                     "max_calls": slots},
                 "tenants": TENANTS.iter().map(tenant).collect::<Vec<_>>(), "over_share_worth": 0.05,
--- a/crates/micadrum-rehearsal/src/world/model.rs
+++ b/crates/micadrum-rehearsal/src/world/model.rs
@@ -111,6 +111,8 @@
     limit: Limit,
     /// Refused calls use the rate up too.
     refused_count: bool,
+    /// Share of the limit that there is now.
+    stays: f64,
     tokens: f64,
     tokens_at: At,
     window: (At, u32),
@@ -151,9 +153,18 @@
         (COLD_SHARE + (1.0 - COLD_SHARE) * share).min(1.0)
     }
 
+    /// The limit as it is now.
+    fn limit(&self) -> Limit {
+        match self.limit {
+            Limit::None => Limit::None,
+            Limit::Rate(rate) => Limit::Rate(rate * self.stays),
+            Limit::Window(count) => Limit::Window(((f64::from(count) * self.stays) as u32).max(1)),
+        }
+    }
+
     /// Whether one more call at `now` is within the limit.
     fn admits(&mut self, now: At) -> bool {
-        match self.limit {
+        match self.limit() {
             Limit::None => true,
             Limit::Rate(rate) => {
                 let since = now.saturating_sub(self.tokens_at) as f64 / 1e6;
@@ -178,7 +189,7 @@
 
     /// Share of the limit that is left, and the limit in calls a second.
     fn report(&mut self, now: At) -> (f64, f64) {
-        let (left, rate) = match self.limit {
+        let (left, rate) = match self.limit() {
             Limit::None => (1.0, 0.0),
             Limit::Rate(rate) => ((self.tokens / rate.max(2.0)).clamp(0.0, 1.0), rate),
             Limit::Window(count) => {
@@ -221,6 +232,7 @@
             capacity: partner.capacity / routes as f64,
             limit: partner.limit,
             refused_count: partner.kind == Kind::Bank,
+            stays: 1.0,
             tokens: 1.0,
             tokens_at: 0,
             window: (0, 0),
@@ -266,6 +278,11 @@
         true
     }
 
+    /// Of a line's limit there is that share now.
+    pub fn set_limit(&mut self, line: usize, share: f64) {
+        self.lines[line].stays = share;
+    }
+
     /// All endpoints of a line have been replaced by others, which have no outage behind them.
     pub fn replaced(&mut self, line: usize) {
         (self.lines[line].outage, self.lines[line].back) = (None, None);
@@ -423,6 +440,24 @@
         assert!((25..=60).contains(&through), "{through} of 100 calls in 5 s at 10 a second");
     }
 
+    /// Guards against a limit that falls only in what is reported, or does not come back.
+    #[test]
+    fn a_limit_that_falls_is_told_and_kept_to() {
+        let mut model = partner(Limit::Rate(20.0), 100.0);
+        let taken = |model: &mut PartnerModel, from: At| {
+            let calls = (0..100).map(|n| call(model, from + n * S / 50, &format!("{from} {n}")));
+            calls.filter(|fate| fate.ends == [MessageEnd::Ok]).count()
+        };
+        let before = taken(&mut model, 0);
+        model.set_limit(0, 0.5);
+        assert_eq!(model.report(3, 10 * S).1, 10.0);
+        let during = taken(&mut model, 10 * S);
+        model.set_limit(0, 1.0);
+        let after = taken(&mut model, 20 * S);
+        // 2 s of it, and what of it was left over.
+        assert!(during <= 30 && after >= before, "{before} {during} {after}");
+    }
+
     /// Guards against a key that is forgotten before its window, counted from its sending, is over, or kept on.
     #[test]
     fn a_repeat_is_dropped_in_its_window() {
--- a/crates/micadrum-rehearsal/src/world/platform.rs
+++ b/crates/micadrum-rehearsal/src/world/platform.rs
@@ -2,7 +2,8 @@
 use super::{End, World};
 use crate::http::{Conversation, Message, answer};
 use crate::observation::{At, Seen};
-use crate::plan::Dice;
+use crate::plan::{Dice, MUST_ASK_IN};
+use crate::scenario::Discovery;
 use crate::wire::{Door, Host, Wire};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -19,6 +20,13 @@
 const PORT: u16 = 8500;
 /// A watch goes on if the next call comes within 200 ms of the last answer.
 const TOLD_AFTER: Duration = Duration::from_millis(250);
+const GOES_ON: At = 200_000;
+/// What the new agent of a sender has counts as told so long after it was told where that is.
+const MOVED: At = 4_000_000;
+/// Discovery turns a call away whose answer would take longer.
+const MOST_WAIT: At = 2_000_000;
+/// A call in vain counts for so many times as long as none, where the list comes on request.
+const AFTER_FAILURE: At = 4;
 
 /// An entry of the list; the address differs from sender to sender.
 #[derive(Clone, Debug)]
@@ -48,7 +56,21 @@
 /// The agent on one sender's machine.
 pub struct Agent {
     door: RefCell<Option<Box<dyn Door>>>,
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
+    /// Counts its moves.
+    place: Cell<u16>,
+    /// Revisions before the ones that it counts.
+    base: Cell<u64>,
+    /// The last version that the sender was told.
+    told_revision: Cell<u64>,
+    /// When it last asked, whether in vain, and when it was answered last.
+    asked: Cell<At>,
+    in_vain: Cell<bool>,
+    answered: Cell<At>,
+    /// Calls of it that wait for news.
+    waiting: Cell<usize>,
+    /// Nothing counts as told before.
+    excused: Cell<At>,
     visible: RefCell<(u64, Vec<Entry>)>,
     changed: Notify,
     /// Ids that the sender was told of, and since when.
@@ -65,7 +87,15 @@
     pub(super) async fn new(wire: &dyn Wire, sender: u32) -> io::Result<Self> {
         let door = wire.listen(Host::Sender(sender), PORT).await?;
         Ok(Self {
-            address: door.address(),
+            address: Cell::new(door.address()),
+            place: Cell::default(),
+            base: Cell::default(),
+            told_revision: Cell::default(),
+            asked: Cell::default(),
+            in_vain: Cell::default(),
+            answered: Cell::default(),
+            waiting: Cell::default(),
+            excused: Cell::default(),
             door: RefCell::new(Some(door)),
             visible: RefCell::new((0, Vec::new())),
             changed: Notify::new(),
@@ -78,14 +108,22 @@
 
     /// Where the sender reaches it.
     pub(super) fn address(&self) -> SocketAddr {
-        self.address
+        self.address.get()
+    }
+
+    /// A process of the sender begins: it has asked nobody yet, and has what its configuration says.
+    pub(super) fn began(&self, now: At) {
+        self.asked.set(now);
+        self.answered.set(0);
+        self.in_vain.set(false);
+        self.waiting.set(0);
     }
 
     /// The list that the agent has been sent, in discovery's form.
     pub(super) fn known(&self, sender: u32) -> Value {
         let (revision, entries) = &*self.visible.borrow();
         let members: Vec<_> = entries.iter().map(|entry| entry.json(sender)).collect();
-        json!({"revision": revision, "complete": true, "members": members})
+        json!({"revision": revision - self.base.get(), "complete": true, "members": members})
     }
 
     /// Whether the sender knew the endpoint by that id when it sent something.
@@ -126,25 +164,70 @@
             while world.agents[sender].silent_until.get() > world.now() {
                 world.until(world.agents[sender].silent_until.get()).await;
             }
-            world.agents[sender].show(revision, list);
-            // What the agent has counts as told, asked for or not.
-            sleep(TOLD_AFTER).await;
-            told(&world, sender as u32);
+            world.agents[sender].show(revision, list.clone());
+            counts_as_told(&world, sender as u32, revision, &list).await;
         });
     }
 }
 
+/// Waits until what the agent has been sent counts as told, asked for or not.
+async fn counts_as_told(world: &Rc<World>, sender: u32, revision: u64, list: &[Entry]) {
+    let agent = &world.agents[sender as usize];
+    match world.plan.scenario.discovery {
+        Discovery::Pushed => {
+            sleep(TOLD_AFTER).await;
+            while agent.excused.get() > world.now() {
+                world.until(agent.excused.get()).await;
+            }
+        }
+        // Listed so long ago, and not asked for since: the sender might have known.
+        Discovery::OnRequest => {
+            let listed = world.now();
+            while agent.told_revision.get() < revision {
+                let times = if agent.in_vain.get() { AFTER_FAILURE } else { 1 };
+                let due = listed.max(agent.asked.get()) + times * MUST_ASK_IN.0;
+                if world.now() >= due && agent.waiting.get() == 0 {
+                    break;
+                }
+                world.until(due.max(world.now() + GOES_ON)).await;
+            }
+        }
+    }
+    told_list(world, sender, revision, list);
+}
+
+/// A sender's agent goes elsewhere and counts its versions anew; a new configuration says so.
+pub(super) async fn move_agent(world: &Rc<World>, sender: u32) -> io::Result<()> {
+    let agent = &world.agents[sender as usize];
+    let place = agent.place.get() + 1;
+    let door = world.wire.listen(Host::Sender(sender), PORT + place).await?;
+    agent.place.set(place);
+    agent.base.set(agent.visible.borrow().0 - 1);
+    agent.excused.set(world.now() + MOVED);
+    agent.address.set(door.address());
+    *agent.door.borrow_mut() = Some(door);
+    serve(world, sender);
+    // Whoever waits at the old address is let go.
+    agent.changed.notify_waiters();
+    let seed = Dice::new(world.plan.seed, &format!("sender {sender} at agent {place}")).number();
+    world.fleet.reload(sender, world.config(sender, world.fleet.listen(sender), seed));
+    Ok(())
+}
+
 /// Serves a sender's agent.
 pub(super) fn serve(world: &Rc<World>, sender: u32) {
     let Some(door) = world.agents[sender as usize].door.borrow_mut().take() else { return };
     let world = world.clone();
+    let place = world.agents[sender as usize].place.get();
     spawn_local(async move {
         while let Ok(line) = door.accept().await {
             let world = world.clone();
             spawn_local(async move {
                 let mut with = Conversation::new(line);
                 while let Ok(Some(message)) = with.read(false).await {
-                    let Some(text) = answered(&world, sender, &message).await else { return };
+                    let answer = answered(&world, sender, &message).await;
+                    let here = world.agents[sender as usize].place.get() == place;
+                    let Some(text) = answer.filter(|_| here) else { return };
                     if with.write(&text).await.is_err() {
                         return;
                     }
@@ -171,22 +254,45 @@
         let (_, query) = message.path.split_once('?')?;
         query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
     };
+    agent.asked.set(world.now());
+    let goes_on = agent.answered.get() > 0 && world.now() < agent.answered.get() + GOES_ON;
+    if let (Some(bears), false) = (world.plan.scenario.discovery_bears, goes_on) {
+        let done = world.discovery_free.get().max(world.now()) + (1e6 / bears.0) as At;
+        if done > world.now() + MOST_WAIT {
+            agent.in_vain.set(true);
+            world.until(world.now() + MOST_WAIT).await;
+            return Some(answer("503 Service Unavailable", "", ""));
+        }
+        world.discovery_free.set(done);
+        world.until(done).await;
+    }
+    agent.in_vain.set(false);
     if let (Some(from), Some(hold)) = (number("from"), number("hold_ms")) {
+        let place = agent.place.get();
         let news = async {
             loop {
                 let changed = agent.changed.notified();
-                if agent.visible.borrow().0 > from {
+                if agent.visible.borrow().0 - agent.base.get() > from || agent.place.get() != place {
                     return;
                 }
                 changed.await;
             }
         };
-        if timeout(Duration::from_millis(hold), news).await.is_err() {
+        agent.waiting.set(agent.waiting.get() + 1);
+        let waited = timeout(Duration::from_millis(hold), news).await;
+        agent.waiting.set(agent.waiting.get().saturating_sub(1));
+        agent.answered.set(world.now());
+        agent.asked.set(world.now());
+        if agent.place.get() != place {
+            return None;
+        }
+        if waited.is_err() {
             let list = json!({"revision": from, "complete": false, "members": []});
             return Some(answer("200 OK", "", &list.to_string()));
         }
     }
     // The whole list each time: an endpoint that is not on it is gone.
+    agent.answered.set(world.now());
     let list = agent.known(sender);
     told(world, sender);
     Some(answer("200 OK", "", &list.to_string()))
@@ -194,13 +300,22 @@
 
 /// A sender is told the whole list that its agent has: an endpoint that is not on it is gone.
 pub(super) fn told(world: &World, sender: u32) {
+    let (revision, entries) = world.agents[sender as usize].visible.borrow().clone();
+    told_list(world, sender, revision, &entries);
+}
+
+fn told_list(world: &World, sender: u32, revision: u64, entries: &[Entry]) {
     let agent = &world.agents[sender as usize];
-    let entries = agent.visible.borrow().1.clone();
-    for entry in &entries {
+    // What it was told since is newer.
+    if revision < agent.told_revision.get() {
+        return;
+    }
+    agent.told_revision.set(revision);
+    for entry in entries {
         agent.told.borrow_mut().entry(entry.id.clone()).or_insert_with(|| world.now());
     }
     let serving: BTreeSet<String> =
-        entries.into_iter().filter(|e| e.phase == "SERVING").map(|e| e.id).collect();
+        entries.iter().filter(|e| e.phase == "SERVING").map(|e| e.id.clone()).collect();
     let before = agent.serving.replace(serving.clone());
     for endpoint in before.difference(&serving) {
         world.saw(Seen::Listed { sender, endpoint: endpoint.clone(), serving: false });
--- a/crates/micadrum-rehearsal/src/world/senders.rs
+++ b/crates/micadrum-rehearsal/src/world/senders.rs
@@ -34,6 +34,9 @@
     /// SIGTERM.
     fn terminate(&self, sender: u32);
 
+    /// SIGHUP, with this configuration in place of the one before.
+    fn reload(&self, sender: u32, config: serde_json::Value);
+
     /// SIGKILL.
     fn kill(&self, sender: u32);
 
@@ -173,6 +176,7 @@
     let config = world.config(sender, world.fleet.listen(sender), seed);
     // The list that its agent has comes with it.
     platform::told(world, sender);
+    world.agents[sender as usize].began(world.now());
     let started = timeout(START, async {
         let address = world.fleet.start(sender, config).await?;
         let ready = async {
--- a/crates/micadrum-rehearsal/tests/hard_cases.rs
+++ b/crates/micadrum-rehearsal/tests/hard_cases.rs
@@ -107,6 +107,32 @@
     assert!(play(slow).verdict.broken.contains_key(&Rule::Drain));
 }
 
+/// Guards against a herd that comes back to a discovery which answers 20 calls a second and goes by old lists: nobody breaks a
+/// rule, and all are told in the end. Where the list comes on request, who asks nobody counts as told after ten seconds.
+#[test]
+fn a_herd_comes_back_to_an_overbooked_discovery() {
+    shipped_one("herd-fleet", 1..=1);
+    let rest = "discovery = \"on-request\"\ndiscovery_bears = \"20/s\"\n\
+                [[fault]]\nkind = \"drain\"\nat = \"5 s\"\nshare = \"50%\"\n";
+    let mut alone = Plan::new(scenario("30 s", rest), 1);
+    alone.lies = vec![Lie { pointer: "/discovery".to_owned(), value: "10.9.9.9:1".into() }];
+    assert!(play(alone).verdict.broken.contains_key(&Rule::Drain));
+    kept(scenario("30 s", rest), 1);
+}
+
+/// Guards against senders that stay with an agent that has moved, or take the new one's versions for those of the old: what
+/// drains after the move is told by the new one alone.
+#[test]
+fn an_agent_that_moves_and_counts_anew() {
+    let rest = "[[fault]]\nkind = \"drain\"\nat = \"4 s\"\nshare = \"30%\"\n\
+                [[fault]]\nkind = \"move-discovery\"\nat = \"6 s\"\n\
+                [[fault]]\nkind = \"restart\"\nat = \"8 s\"\nhow = \"kill\"\n\
+                [[fault]]\nkind = \"drain\"\nat = \"20 s\"\nshare = \"50%\"\n";
+    for seed in 1..=3 {
+        kept(scenario("35 s", rest), seed);
+    }
+}
+
 /// Guards against a judge that lets a faulty sender pass. The senders are made faulty by what they are told wrong,
 /// or by a folder that is emptied behind their back; all else is the real code. What no configuration makes it do is
 /// planted in the judge's own tests.
