--- a/crates/micadrum-rehearsal/src/world/platform.rs
+++ b/crates/micadrum-rehearsal/src/world/platform.rs
@@ -67,6 +67,8 @@
     asked: Cell<At>,
     in_vain: Cell<bool>,
     answered: Cell<At>,
+    /// Counts the processes of the sender: what an earlier one had asked nobody hears.
+    process: Cell<u32>,
     /// Calls of it that wait for news.
     waiting: Cell<usize>,
     /// Nothing counts as told before.
@@ -94,6 +96,7 @@
             asked: Cell::default(),
             in_vain: Cell::default(),
             answered: Cell::default(),
+            process: Cell::default(),
             waiting: Cell::default(),
             excused: Cell::default(),
             door: RefCell::new(Some(door)),
@@ -111,8 +114,9 @@
         self.address.get()
     }
 
-    /// A process of the sender begins: it has asked nobody yet, and has what its configuration says.
+    /// A process of the sender has ended, or begins: it has asked nobody yet, and has what its configuration says.
     pub(super) fn began(&self, now: At) {
+        self.process.set(self.process.get() + 1);
         self.asked.set(now);
         self.answered.set(0);
         self.in_vain.set(false);
@@ -254,6 +258,7 @@
         let (_, query) = message.path.split_once('?')?;
         query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
     };
+    let process = agent.process.get();
     agent.asked.set(world.now());
     let goes_on = agent.answered.get() > 0 && world.now() < agent.answered.get() + GOES_ON;
     if let (Some(bears), false) = (world.plan.scenario.discovery_bears, goes_on) {
@@ -265,6 +270,9 @@
         }
         world.discovery_free.set(done);
         world.until(done).await;
+        if agent.process.get() != process {
+            return None;
+        }
     }
     agent.in_vain.set(false);
     if let (Some(from), Some(hold)) = (number("from"), number("hold_ms")) {
@@ -280,6 +288,9 @@
         };
         agent.waiting.set(agent.waiting.get() + 1);
         let waited = timeout(Duration::from_millis(hold), news).await;
+        if agent.process.get() != process {
+            return None;
+        }
         agent.waiting.set(agent.waiting.get().saturating_sub(1));
         agent.answered.set(world.now());
         agent.asked.set(world.now());
--- a/crates/micadrum-rehearsal/src/world/senders.rs
+++ b/crates/micadrum-rehearsal/src/world/senders.rs
@@ -285,6 +285,7 @@
     let state = &world.senders[sender as usize];
     state.up.set(false);
     state.down_since.set(Some(world.now()));
+    world.agents[sender as usize].began(world.now());
     world.saw(Seen::Exited { sender, asked });
     if world.plan.forgetful {
         world.fleet.wipe(sender);
