--- a/src/decision/line.rs
+++ b/src/decision/line.rs
@@ -149,7 +149,7 @@
         // The pace that refusals never push below: half the known limit's equal part, and the rate of trials.
         let least = (bounds.part / 2.0).max(trial_rate(s));
         let limited = bounds.limited();
-        let calm = since(now, self.last_refusal) as f64 > RATE_S * 1e6;
+        let calm = since(now, self.last_refusal) > s.rules.ramp.0;
         let flow = &mut self.flow;
         match outcome {
             Outcome::Cancelled | Outcome::Void => return false,
