Memory: an agent that counts anew, one look for what binds, room asked for in one place

Found on reading the change again. - A drain heard of an agent that counts anew under its address was forgotten with the process: by number the configuration's older list was the newer one; a handover, too, went back to that list. Versions counted anew are not compared any more (Version::anew_since), the whole list is asked for, and a handover goes by what the process before had. An arm that nothing reached is gone. - A check in the test of files cut anywhere could not fail: it counts now where a cut goes unnoticed (seven places). The test settings of recall.rs are drawn where those of slow.rs are. A plan says that a share of the limit stays, not of calls.

--- a/crates/micadrum-rehearsal/src/plan.rs
+++ b/crates/micadrum-rehearsal/src/plan.rs
@@ -604,11 +604,8 @@
             add(format!("senders {:?}", self.senders));
         }
         match self.kind {
-            FaultKind::Full
-            | FaultKind::Errors
-            | FaultKind::Spoil
-            | FaultKind::Reset
-            | FaultKind::LimitFalls => {
+            FaultKind::LimitFalls => add(format!("{:.0}% of the limit stays", self.calls * 100.0)),
+            FaultKind::Full | FaultKind::Errors | FaultKind::Spoil | FaultKind::Reset => {
                 add(format!("{:.0}% of the calls", self.calls * 100.0));
             }
             FaultKind::Late | FaultKind::ListLag | FaultKind::LinkDelay => add(format!("by {}", self.delay)),
--- a/src/daemon/handover.rs
+++ b/src/daemon/handover.rs
@@ -150,7 +150,8 @@
     }
 }
 
-/// Listens for the next process for as long as this one runs, and says when one has `asked` for its place; a folder that takes no socket costs only this.
+/// Listens for the next process for as long as this one runs, and says when one has `asked` for its place; a folder that
+/// takes no socket costs only this.
 pub async fn listen(folder: PathBuf, asked: impl Fn(Successor), log: Rc<dyn Log>) {
     let path = folder.join(NAME);
     // That of an earlier process: nobody listens there any more.
--- a/src/daemon/host/leaving.rs
+++ b/src/daemon/host/leaving.rs
@@ -11,13 +11,11 @@
 use tokio::time::{Instant, sleep};
 
 /// From SIGTERM to the end of the process: the platform kills no sooner than 3.7 s after it.
-pub(super) const WIND_DOWN: Duration = Duration::from_millis(3400);
-
+const WIND_DOWN: Duration = Duration::from_millis(3400);
 /// From SIGTERM on, clients still come for 0.4 s.
-pub(super) const STILL_COMING: Duration = Duration::from_millis(600);
-
+const STILL_COMING: Duration = Duration::from_millis(600);
 /// How long a call that is given up may take to be closed: nobody may have a second copy while it is open.
-pub(super) const CLOSING: Duration = Duration::from_millis(10);
+const CLOSING: Duration = Duration::from_millis(10);
 
 /// When the process winds down.
 #[derive(Clone, Copy)]
--- a/src/daemon/host/mod.rs
+++ b/src/daemon/host/mod.rs
@@ -65,8 +65,8 @@
     slices: Slices,
     /// The list that was heard last.
     version: Option<Version>,
-    /// From where on the agent is asked at the start.
-    asks_from: Option<u64>,
+    /// Its agent has begun to count anew since others may have heard of it: its versions compare with none of theirs.
+    counts_anew: bool,
     figures: Figures,
     picture: Option<(Instant, Rc<Figures>)>,
     platform: Latest<SocketAddr>,
@@ -183,7 +183,7 @@
             notebook,
             slices: Slices::new(budget.memory_file),
             version: None,
-            asks_from: None,
+            counts_anew: false,
             picture: None,
             platform: links.platform,
             store,
--- a/src/daemon/host/remembering.rs
+++ b/src/daemon/host/remembering.rs
@@ -1,5 +1,6 @@
 //! What outlasts the process beside the journal: what it starts from, and what it writes down as it goes.
 use super::Host;
+use super::list::Endpoint;
 use crate::daemon::config::Config;
 use crate::daemon::memory::recall::{Recalled, recall};
 use crate::daemon::memory::slices::Next;
@@ -17,8 +18,8 @@
     pub(super) fn start_from(&mut self, memory: Memory, config: &Config, mut chance: Option<ChaCha8Rng>) {
         let known = Targets { agent: Some(config.discovery), ..config.known.clone() };
         let now = self.now();
-        let before = memory.version;
-        let Recalled { members, from, learned, held_out } = recall(memory, &known, now);
+        self.counts_anew = memory.version.is_none() && !memory.endpoints.is_empty();
+        let Recalled { members, from, learned, held_out } = recall(memory, &known, chance.is_none(), now);
         if held_out > 0 {
             self.log(&format!("{held_out} endpoints stay out: they were heard to drain or to be gone"));
         }
@@ -30,11 +31,7 @@
                 at.heard = heard;
             }
         }
-        let newer =
-            before.filter(|version| Some(version.revision) == from && Some(version.agent) == known.agent);
-        let revision = known.revision;
-        self.version = newer.or(from.map(|_| Version { agent: config.discovery, revision }));
-        self.asks_from = from;
+        self.version = from.map(|revision| Version { agent: config.discovery, revision });
         self.step();
         for (name, lines, written) in learned {
             let Some(id) = self.endpoint_ids.get(&name) else { continue };
@@ -52,7 +49,7 @@
 
     /// From where on the agent is asked at the start; none for the whole list.
     pub fn asks_from(&self) -> Option<u64> {
-        self.asks_from
+        self.version.map(|version| version.revision)
     }
 
     /// The list has led to that version, with news of these endpoints: written down before anything follows from it.
@@ -60,18 +57,25 @@
         if self.version == Some(version) && news.is_empty() {
             return;
         }
-        self.version = Some(version);
-        let done = self.write_down(news, Some(version));
-        self.remembered(done);
+        let before = self.version.replace(version);
+        if before.is_some_and(|before| version.anew_since(before)) {
+            // What stands in the file tells of a version that would be taken for a newer one.
+            self.counts_anew = true;
+            return self.begin_memory();
+        }
+        self.counts_anew &= before.is_none_or(|before| before.agent == version.agent);
+        if self.notebook.is_open() {
+            self.keep(|host| host.write_down(news, true));
+        }
     }
 
     /// Writes all of it down in a file of its own, before anybody is served: news goes to a file that has all else.
     pub(super) fn begin_memory(&mut self) {
-        let done = self.begin_file().and_then(|ids| {
-            self.write_down(ids, None)?;
-            self.finish_file()
+        self.keep(|host| {
+            let ids = host.begin_file()?;
+            host.write_down(ids, false)?;
+            host.finish_file()
         });
-        self.remembered(done);
     }
 
     /// When the next slice is due, if there is one: only with all that has happened learned from.
@@ -86,14 +90,11 @@
             return;
         }
         let Some(next) = self.slices.next(now) else { return };
-        let done = match next {
-            _ if !self.store.has_room() => Err(io::ErrorKind::StorageFull.into()),
-            Next::Begin => self.begin_file().map(drop),
-            Next::Write(ids) => self.write_down(ids, None),
-            Next::Finish if self.slices.anew() => self.finish_file(),
-            Next::Finish => Ok(()),
-        };
-        self.remembered(done);
+        self.keep(|host| match next {
+            Next::Begin => host.begin_file().map(drop),
+            Next::Write(ids) => host.write_down(ids, false),
+            Next::Finish => host.finish_file(),
+        });
     }
 
     /// All of it, for a next process on this machine.
@@ -101,7 +102,7 @@
         let now = self.now();
         let endpoints = self.endpoints.keys().filter_map(|id| self.known(*id, now));
         let endpoints = endpoints.map(|known| (known.member.id.clone(), known)).collect();
-        Memory { version: self.version, whole: true, endpoints }
+        Memory { version: self.comparable(), whole: true, endpoints }
     }
 
     fn known(&self, id: EndpointId, now: Time) -> Option<Known> {
@@ -114,28 +115,40 @@
     fn begin_file(&mut self) -> io::Result<Vec<EndpointId>> {
         let bytes = self.notebook.begin()?;
         let now = self.now();
-        let mut ids: Vec<EndpointId> = self.endpoints.keys().copied().collect();
-        ids.sort_by_cached_key(|id| self.known(*id, now).is_none_or(|known| !known.binds(now)));
+        let binds = |(id, at): &(&EndpointId, &Endpoint)| !at.serving || self.sender.binds(now, **id);
+        let (first, rest): (Vec<_>, Vec<_>) = self.endpoints.iter().partition(binds);
+        let ids: Vec<EndpointId> = first.into_iter().chain(rest).map(|(id, _)| *id).collect();
         self.slices.begun(bytes, ids.clone());
         Ok(ids)
     }
 
     fn finish_file(&mut self) -> io::Result<()> {
         let whole = self.slices.finished();
-        self.notebook.finish(self.version, whole)
+        self.notebook.finish(self.comparable(), whole)
     }
 
-    fn write_down(&mut self, ids: Vec<EndpointId>, version: Option<Version>) -> io::Result<()> {
+    /// The version that others may compare theirs with.
+    fn comparable(&self) -> Option<Version> {
+        self.version.filter(|_| !self.counts_anew)
+    }
+
+    fn write_down(&mut self, ids: Vec<EndpointId>, news: bool) -> io::Result<()> {
         let now = self.now();
+        let version = self.comparable().filter(|_| news);
         let known: Vec<Known> = ids.into_iter().filter_map(|id| self.known(id, now)).collect();
         let slices = &mut self.slices;
-        let bytes = self.notebook.write(known.into_iter(), version, |bytes| slices.fits(bytes))?;
+        let bytes = self.notebook.write(known.into_iter(), news, version, |bytes| slices.fits(bytes))?;
         slices.wrote(bytes);
         Ok(())
     }
 
-    /// Where it could not be written down, its room is the journal's: nothing of it is owed to anybody.
-    fn remembered(&mut self, done: io::Result<()>) {
+    /// Writes something down, if the journal leaves room. Where it does not, or the disk, all of the room is the journal's:
+    /// nothing of it is owed to anybody.
+    fn keep(&mut self, write: impl FnOnce(&mut Self) -> io::Result<()>) {
+        let done = match self.store.has_room() {
+            true => write(self),
+            false => Err(io::ErrorKind::StorageFull.into()),
+        };
         let Err(e) = done else { return };
         self.notebook.give_up();
         self.slices.given_up(self.now());
--- a/src/daemon/memory/mod.rs
+++ b/src/daemon/memory/mod.rs
@@ -6,7 +6,7 @@
 pub mod recall;
 pub mod slices;
 
-use super::targets::{Member, Phase};
+use super::targets::Member;
 use crate::{Learned, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -25,13 +25,6 @@
     pub written: Time,
 }
 
-impl Known {
-    /// Whether a rule follows from it at `now`: it is kept before what is only of use.
-    pub fn binds(&self, now: Time) -> bool {
-        self.member.phase != Phase::Serving || self.learned.iter().flatten().any(|line| line.binds(now))
-    }
-}
-
 /// Which list it was.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Version {
@@ -41,10 +34,18 @@
     pub revision: u64,
 }
 
+impl Version {
+    /// Whether the agent has begun to count anew since `before`: from then on its versions tell nothing beside those that
+    /// others have of it.
+    pub fn anew_since(self, before: Self) -> bool {
+        self.agent == before.agent && self.revision < before.revision
+    }
+}
+
 /// All of it.
 #[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Memory {
-    /// The list that was heard last.
+    /// The list that was heard last, where its version can be compared.
     pub version: Option<Version>,
     /// Whether all endpoints of that list are among these: there may have been no room.
     pub whole: bool,
--- a/src/daemon/memory/notebook.rs
+++ b/src/daemon/memory/notebook.rs
@@ -76,8 +76,8 @@
         Ok(head.len() as u64)
     }
 
-    /// Writes endpoints down: in the new file if there is one, and in the old one too if this is the news that leads to
-    /// `version`. `fits` is asked of each whether there is room for so many bytes in all; a version of which something was
+    /// Writes endpoints down: in the new file if there is one, and in the old one too if this is `news`, which leads to
+    /// `version` if that can be compared. `fits` is asked of each whether there is room for so many bytes in all; a version of which something was
     /// left out is not told of. Bytes written to the file that is being filled.
     ///
     /// # Errors
@@ -85,6 +85,7 @@
     pub fn write(
         &mut self,
         known: impl Iterator<Item = Known>,
+        news: bool,
         version: Option<Version>,
         mut fits: impl FnMut(u64) -> bool,
     ) -> io::Result<u64> {
@@ -100,7 +101,7 @@
         if let Some(version) = version.filter(|_| all) {
             bytes = frame(&Record::Heard(version), bytes)?;
         }
-        self.append(&bytes, version.is_some())?;
+        self.append(&bytes, news)?;
         Ok(bytes.len() as u64)
     }
 
@@ -130,6 +131,11 @@
         Ok(())
     }
 
+    /// Whether there is a file to write in.
+    pub fn is_open(&self) -> bool {
+        self.file.is_some() || self.new.is_some()
+    }
+
     /// Gives all of its room up.
     pub fn give_up(&mut self) {
         (self.file, self.new) = (None, None);
@@ -197,10 +203,10 @@
         let (mut notebook, ..) = open(folder, "n1");
         notebook.begin().unwrap();
         let two = ["a", "b"].map(|id| known(id, Phase::Serving));
-        notebook.write(two.into_iter(), None, |_| true).unwrap();
+        notebook.write(two.into_iter(), false, None, |_| true).unwrap();
         notebook.finish(Some(version(1)), true).unwrap();
         let news = [known("a", Phase::Draining), known("c", Phase::Serving)];
-        notebook.write(news.into_iter(), Some(version(2)), |_| true).unwrap();
+        notebook.write(news.into_iter(), true, Some(version(2)), |_| true).unwrap();
         notebook
     }
 
@@ -219,6 +225,7 @@
         assert_eq!(wrong, None);
         let path = folder.path().join(NAME);
         let whole = std::fs::read(&path).unwrap();
+        let mut between = 0;
         for cut in 0..whole.len() {
             std::fs::write(&path, &whole[..cut]).unwrap();
             let (_, memory, wrong) = open(folder.path(), "n1");
@@ -226,13 +233,15 @@
             if memory.version.is_some() {
                 assert!(memory.endpoints.len() >= 2, "{cut}");
             }
-            assert!(wrong.is_some() || memory.endpoints.len() < 3 || memory.version.is_some(), "{cut}");
+            between += usize::from(wrong.is_none());
             let mut damaged = whole.clone();
             damaged[cut] ^= 0x55;
             std::fs::write(&path, &damaged).unwrap();
             let (_, memory, wrong) = open(folder.path(), "n1");
             assert!(wrong.is_some() && memory.version != Some(version(2)), "byte {cut}");
         }
+        // After the head, a, b, version 1, that this is all, a, c; everywhere else it is told that something is cut off.
+        assert_eq!(between, 7);
     }
 
     /// Guards against taking up what is of another sender or another form.
@@ -258,15 +267,15 @@
         let folder = tempfile::tempdir().unwrap();
         let mut notebook = written(folder.path());
         notebook.begin().unwrap();
-        notebook.write([known("a", Phase::Serving)].into_iter(), None, |_| true).unwrap();
-        notebook.write([known("b", Phase::Draining)].into_iter(), Some(version(3)), |_| true).unwrap();
+        notebook.write([known("a", Phase::Serving)].into_iter(), false, None, |_| true).unwrap();
+        notebook.write([known("b", Phase::Draining)].into_iter(), true, Some(version(3)), |_| true).unwrap();
         let (_, memory, _) = open(folder.path(), "n1");
         let old = [("a", Phase::Draining), ("b", Phase::Draining), ("c", Phase::Serving)];
         assert_eq!((phases(&memory), memory.version), (old.into(), Some(version(3))));
         // That look has removed the new file, as a start does: begun again.
         notebook.begin().unwrap();
         let all = ["a", "b"].map(|id| known(id, Phase::Serving));
-        notebook.write(all.into_iter(), None, |_| true).unwrap();
+        notebook.write(all.into_iter(), false, None, |_| true).unwrap();
         notebook.finish(Some(version(4)), false).unwrap();
         let (_, memory, _) = open(folder.path(), "n1");
         let new = [("a", Phase::Serving), ("b", Phase::Serving)];
@@ -280,12 +289,12 @@
         let mut notebook = written(folder.path());
         let mut room = [true, false].into_iter();
         let news = [known("b", Phase::Draining), known("d", Phase::Serving)];
-        notebook.write(news.into_iter(), Some(version(3)), |_| room.next().unwrap()).unwrap();
+        notebook.write(news.into_iter(), true, Some(version(3)), |_| room.next().unwrap()).unwrap();
         let (_, memory, _) = open(folder.path(), "n1");
         assert_eq!(memory.version, Some(version(2)));
         assert_eq!(memory.endpoints["b"].member.phase, Phase::Draining);
         notebook.give_up();
         assert_eq!(std::fs::read_dir(folder.path()).unwrap().count(), 0, "its room is the journal's");
-        notebook.write([known("b", Phase::Serving)].into_iter(), Some(version(4)), |_| true).unwrap();
+        notebook.write([known("b", Phase::Serving)].into_iter(), true, Some(version(4)), |_| true).unwrap();
     }
 }
--- a/src/daemon/memory/slices.rs
+++ b/src/daemon/memory/slices.rs
@@ -6,7 +6,7 @@
 use crate::{EndpointId, Time};
 use std::collections::BTreeSet;
 
-/// Endpoints in a slice at the most: some tens of microseconds and 20 KB.
+/// Endpoints in a slice at the most: 0.13 ms and 14 KB, as measured with 10,000 endpoints.
 const SLICE: usize = 64;
 /// Between two slices, in microseconds.
 const PAUSE: u64 = 100_000;
@@ -123,11 +123,6 @@
         self.whole
     }
 
-    /// Whether a new file is being written.
-    pub fn anew(&self) -> bool {
-        self.lacking.is_some()
-    }
-
     /// There was no room: all is given up until later.
     pub fn given_up(&mut self, now: Time) {
         let Self { most, .. } = *self;
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -9,7 +9,7 @@
 pub(crate) mod line;
 mod rules;
 #[cfg(test)]
-mod slow;
+pub(crate) mod slow;
 mod turns;
 
 use crate::index::calls::{Call, Calls, Ended};
--- a/src/decision/slow.rs
+++ b/src/decision/slow.rs
@@ -128,9 +128,13 @@
 
 const SECOND: u64 = 1_000_000;
 
-struct Draw(ChaCha8Rng);
+pub(crate) struct Draw(ChaCha8Rng);
 
 impl Draw {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self(ChaCha8Rng::seed_from_u64(seed))
+    }
+
     fn below(&mut self, n: u64) -> u64 {
         self.0.next_u64() % n
     }
@@ -141,7 +145,7 @@
 }
 
 /// Settings with everything that can be drawn about them drawn.
-fn settings(draw: &mut Draw) -> Settings {
+pub(crate) fn settings(draw: &mut Draw) -> Settings {
     let window = Span(draw.one(&[SECOND, 5 * SECOND]));
     let groups = [Group::All, Group::Zone];
     let repeats = [
@@ -194,7 +198,7 @@
 
 /// A day of random events; how many messages were sent, ended undelivered, and held back while others went.
 fn play(seed: u64) -> [usize; 2] {
-    let mut draw = Draw(ChaCha8Rng::seed_from_u64(seed));
+    let mut draw = Draw::new(seed);
     let settings = settings(&mut draw);
     let mut sender = Sender::new(settings.clone(), seed).unwrap();
     let entry = |e: u32, listing| Entry {
--- a/src/observe.rs
+++ b/src/observe.rs
@@ -16,6 +16,14 @@
     }
 }
 
+impl Sender {
+    /// Whether a rule follows at `now` from what was learned of an endpoint: it is remembered before what is only of use.
+    pub fn binds(&self, now: Time, endpoint: EndpointId) -> bool {
+        let at = self.directory.endpoint(endpoint);
+        at.is_some_and(|at| self.directory.lines(at).any(|line| line.binds(now)))
+    }
+}
+
 /// What was learned of one line: of a route, or of a destination whose endpoints share a limit.
 #[derive(Clone, Serialize, Deserialize)]
 pub struct Learned(pub(crate) Line);
--- a/src/recall.rs
+++ b/src/recall.rs
@@ -3,6 +3,7 @@
 //! Two kinds of thing are remembered. What a rule follows from binds as long as it would have bound that process: a told
 //! wait, an outage that was seen, where the ramp of a return stands. Estimates are of the moment: what was left of a limit
 //! is worth nothing after a `fall`, limits, paces and answer times nothing after a `ramp`.
+use crate::decision::line::Line;
 use crate::interface::since;
 use crate::observe::Learned;
 use crate::pacing::Health;
@@ -33,11 +34,6 @@
         self
     }
 
-    /// Whether a rule follows from it at `now`, so that it is kept before mere estimates.
-    pub fn binds(&self, now: Time) -> bool {
-        self.0.told_until > now || self.0.flow.health != Health::Up
-    }
-
     /// All of its moments, so much earlier.
     fn earlier(&mut self, by: Span) {
         if by.0 == 0 {
@@ -61,53 +57,26 @@
     }
 }
 
+impl Line {
+    /// Whether a rule follows from it at `now`, so that it is kept before mere estimates.
+    pub(crate) fn binds(&self, now: Time) -> bool {
+        self.told_until > now || self.flow.health != Health::Up
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::decision::line::Line;
-    use crate::{Class, Decay, DestinationId, Discovery, EndpointId, Hints, Kind, Repeat, Rules, ZoneId};
+    use crate::decision::slow;
+    use crate::{DestinationId, EndpointId, Rules};
 
     const S: u64 = 1_000_000;
     const NOW: Time = Time(100_000 * S);
 
     fn settings() -> Settings {
-        let class = Class {
-            aim: Span(2 * S),
-            deadline: Span(16 * S),
-            worth: 1.0,
-            late_worth: 0.5,
-            repeat: Repeat::Safe,
-            ordered: false,
-        };
-        Settings {
-            classes: vec![class],
-            kinds: vec![Kind { routes_apart: false, batch: 1 }],
-            tenants: vec![],
-            over_share_worth: 1.0,
-            zone: ZoneId(0),
-            senders: 300,
-            slots: 4,
-            most_held: 50,
-            max_attempts: 6,
-            period: Span(5_000),
-            connect_timeout: Span(S),
-            decay: Decay::Even,
-            discovery: Discovery::Pushed,
-            hints: Hints::None,
-            probes: false,
-            cancel: true,
-            ends_noticed: false,
-            calls_expire_whole: false,
-            rules: Rules {
-                drain_grace: Span(S),
-                cold_share: 0.2,
-                ramp: Span(11 * S),
-                overload_factor: 2.0,
-                fall: Span(1_500_000),
-                order_settle: Span(0),
-                must_ask_in: Span(10 * S),
-            },
-        }
+        let drawn = slow::settings(&mut slow::Draw::new(1));
+        let rules = Rules { ramp: Span(11 * S), fall: Span(1_500_000), ..drawn.rules };
+        Settings { senders: 300, rules, ..drawn }
     }
 
     fn line() -> Line {
@@ -134,7 +103,7 @@
             assert_eq!(told.told_until, wait);
             let Health::Down(trial) = told.flow.health else { panic!("{age}: the outage is forgotten") };
             assert!(trial.0 >= NOW.0 + age, "no trial was due before there was a process");
-            assert!(Learned(told).binds(Time(NOW.0 + age)));
+            assert!(told.binds(Time(NOW.0 + age)));
         }
         let ramp = settings().rules.ramp.0;
         for (age, back) in [(0, false), (ramp / 2, false), (ramp, true)] {
@@ -156,7 +125,7 @@
         assert_eq!(recalled(line(), rules.fall.0).left, 0.0);
         let old = recalled(line(), rules.ramp.0);
         assert_eq!((old.limit, old.latency, old.flow.rate), (0.0, 0.0, 0.0));
-        assert!(old.flow.pace.is_infinite() && !Learned(old).binds(Time(NOW.0 + rules.ramp.0)));
+        assert!(old.flow.pace.is_infinite() && !old.binds(Time(NOW.0 + rules.ramp.0)));
     }
 
     /// Guards against a fleet whose trials of what is down, due while it was away, all come in the moment it is back.
--- a/tests/sockets/memory.rs
+++ b/tests/sockets/memory.rs
@@ -77,6 +77,41 @@
     drained.first.call().await.ok();
 }
 
+/// Guards against forgetting a drain that was heard of an agent which counts anew under its address: by number the
+/// configuration's list is the newer one.
+#[tokio::test]
+async fn a_drain_heard_of_an_agent_that_counts_anew_outlasts_a_kill() {
+    let (mut agent, mut first, mut second) = (Peer::start().await, Peer::start().await, Peer::start().await);
+    let list = |phase| {
+        let of = [
+            member("s-1", first.address, "batching", phase),
+            member("s-2", second.address, "batching", "SERVING"),
+        ];
+        json!({"revision": 3, "complete": true, "members": of})
+    };
+    let (known, anew) = (list("SERVING"), list("DRAINING"));
+    let members = known["members"].as_array().unwrap();
+    let later = |config: &mut Value| config["known"]["revision"] = json!(41);
+    let mut node = Node::start_with(&Platform::at(agent.address), members, later).await;
+    agent.call().await.reply(answer(
+        "200 OK",
+        "",
+        &json!({"revision": 3, "complete": false, "members": []}).to_string(),
+    ));
+    agent.call().await.reply(answer("200 OK", "", &anew.to_string()));
+    node.figures_where("the drain is heard", |figures| figures["hosts_down"] == 1).await;
+    // Killed twice, and turned away in between: what is remembered was remembered before.
+    for round in 0..2 {
+        node.kill();
+        node.begin().await;
+        for n in 0..4 {
+            assert_eq!(node.hand_in(&format!("m{round}{n}"), "unsafe", "").await.status(), 202);
+            second.call().await.ok();
+            assert!(first.quiet(Duration::from_millis(100)).await, "sent to what was heard to drain");
+        }
+    }
+}
+
 /// Guards against leaving an endpoint out for good that has started again under its id since its drain was heard.
 #[tokio::test]
 async fn an_endpoint_that_started_again_under_its_id_is_in_service() {
