Peers: lives, failure detection by members' own answers, the operator's file

Need: no sender knows of another, and what comes next (power loss, duties, copies) stands on who may be there and under which life. Two packages, both free of I/O and clocks; nothing of them runs in the daemon yet.

micadrum-operator: the operator's file, checked whole; errors with file, line, column and the nearest name. The kit's units moved into it.

micadrum-peers: members from the file, keys of each pair (X25519 and keyed BLAKE3), datagrams that count once and only for the run that they are meant for, questions straight and through others (sealed end to end), suspicion, rumours that only point at whom to ask, lives with proofs that nobody else can make, a ceiling of bytes and datagrams.

--- a/crates/micadrum-rehearsal/src/units.rs
+++ b/crates/micadrum-operator/src/units.rs
@@ -1,4 +1,4 @@
-//! Quantities as scenario files write them, always with their unit.
+//! Quantities as people write them in files, always with their unit.
 use serde::{Deserialize, Deserializer};
 use std::fmt;
 
--- /dev/null
+++ b/crates/micadrum-peers/src/lib.rs
@@ -0,0 +1,33 @@
+//! Senders that know each other: who may be there, and under which life.
+//!
+//! [`Peers`] is a state machine free of I/O and clocks. Its host hands it what happened and the time
+//! ([`Peers::handle`]), carries out what it says ([`Peers::poll_output`]), and comes back at [`Peers::due`]. Times are
+//! spans from a start of the host's choosing, on a clock that never goes back; chance is handed in.
+//!
+//! **A view may be wrong at any moment.** It says what this sender believes of others and since when; nothing that a
+//! rule rests on may be decided by it alone. What binds are lives: they only grow, and a sender whose folder was lost
+//! or put back is recognised by what its peers heard before.
+//!
+//! Nobody's word decides about a third: a rumour points at whom to ask, and what a member itself answers, straight or
+//! passed on under its own seal, is all the evidence there is.
+#![forbid(unsafe_code)]
+
+mod ceiling;
+mod health;
+mod life;
+mod member;
+mod peer;
+mod peers;
+mod rumours;
+mod seal;
+mod view;
+mod window;
+mod wire;
+
+pub use ceiling::Ceiling;
+pub use life::{Book, BookError, Life};
+pub use member::{Member, MemberId, Roster, RosterError};
+pub use peers::{Event, Input, Output, Peers, Settings, Standing};
+pub use seal::{Secret, WeakKey};
+pub use view::{Counts, PeerView, Reach, Status, View};
+pub use wire::MOST_DATAGRAM;
--- /dev/null
+++ b/crates/micadrum-peers/src/life.rs
@@ -0,0 +1,154 @@
+//! Lives: a number that grows with every start of a sender, and what is kept of everybody's.
+use crate::member::MemberId;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Lives of members that the list no longer names are kept for so many at the most: they may come back.
+const MOST_HEARD: usize = 4000;
+/// What a book begins with: its form.
+const MAGIC: &[u8; 8] = b"mdlives1";
+const CHECK: usize = 32;
+
+/// One life of a sender: of two, the higher one is the later one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Life {
+    /// Grows with every start; 0 for none.
+    pub number: u64,
+    /// Drawn by chance at the start: tells two processes apart that took the same number from copies of one folder.
+    pub run: u64,
+}
+
+/// Proof that a life was spoken by its own sender: only that one can make it and check it, so nobody can invent a life
+/// that somebody else is to have had.
+pub type Stamp = [u8; 16];
+
+/// A life that was heard of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// The highest.
+    pub life: Life,
+    /// Its proof.
+    pub stamp: Stamp,
+}
+
+/// Why a book cannot be read; its sender then begins as one that has forgotten.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum BookError {
+    /// It ends too soon, or its checksum is not that of what it holds.
+    #[error("it is damaged")]
+    Damaged,
+    /// It has a form that this version does not know.
+    #[error("it is of another version")]
+    Version,
+    /// It is that of another sender.
+    #[error("it belongs to another sender")]
+    Another,
+}
+
+/// What outlasts the process: this sender's last life, and the highest that it heard of each other.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Book {
+    owner: Option<MemberId>,
+    pub(crate) own: u64,
+    pub(crate) heard: BTreeMap<MemberId, Heard>,
+}
+
+impl Book {
+    /// An empty one.
+    #[must_use]
+    pub fn new(owner: MemberId) -> Self {
+        Self { owner: Some(owner), ..Self::default() }
+    }
+
+    /// One whose owner's last life had this number.
+    #[must_use]
+    pub fn starting_at(owner: MemberId, last: u64) -> Self {
+        Self { own: last, ..Self::new(owner) }
+    }
+
+    /// Its bytes.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let mut bytes = MAGIC.to_vec();
+        // Numbers and arrays always have a form.
+        bytes.extend(postcard::to_allocvec(self).unwrap_or_default());
+        let check = blake3::hash(&bytes);
+        bytes.extend_from_slice(check.as_bytes());
+        bytes
+    }
+
+    /// Reads the book of `owner`.
+    ///
+    /// # Errors
+    /// Why it cannot be used.
+    pub fn parse(bytes: &[u8], owner: MemberId) -> Result<Self, BookError> {
+        let at = bytes.len().checked_sub(CHECK).ok_or(BookError::Damaged)?;
+        let (held, check) = bytes.split_at(at);
+        if blake3::hash(held).as_bytes() != check {
+            return Err(BookError::Damaged);
+        }
+        let held = held.strip_prefix(MAGIC).ok_or(BookError::Version)?;
+        let book: Self = postcard::from_bytes(held).map_err(|_| BookError::Damaged)?;
+        if book.owner == Some(owner) { Ok(book) } else { Err(BookError::Another) }
+    }
+
+    /// Notes a life of a member; whether it is a higher one than was known.
+    pub(crate) fn note(&mut self, of: MemberId, heard: Heard, kept: impl Fn(MemberId) -> bool) -> bool {
+        let higher = self.heard.get(&of).is_none_or(|known| heard.life > known.life);
+        if higher {
+            self.heard.insert(of, heard);
+            if self.heard.len() > MOST_HEARD {
+                // Whoever the list names no more goes first, the shortest-lived among them.
+                let gone =
+                    self.heard.iter().filter(|(id, _)| !kept(**id)).min_by_key(|(_, heard)| heard.life);
+                if let Some(id) = gone.map(|(id, _)| *id) {
+                    self.heard.remove(&id);
+                }
+            }
+        }
+        higher
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn id(n: u8) -> MemberId {
+        MemberId([n; 8])
+    }
+
+    fn heard(number: u64) -> Heard {
+        Heard { life: Life { number, run: 1 }, stamp: [0; 16] }
+    }
+
+    /// Guards against a damaged, foreign or cut book that is believed: cut at every length, changed at every byte.
+    #[test]
+    fn a_book_that_is_not_whole_is_not_believed() {
+        let mut book = Book::starting_at(id(1), 7);
+        assert!(book.note(id(2), heard(3), |_| true));
+        let bytes = book.to_bytes();
+        assert_eq!(Book::parse(&bytes, id(1)), Ok(book));
+        assert_eq!(Book::parse(&bytes, id(2)), Err(BookError::Another));
+        for cut in 0..bytes.len() {
+            assert_eq!(Book::parse(&bytes[..cut], id(1)), Err(BookError::Damaged), "cut at {cut}");
+            let mut changed = bytes.clone();
+            changed[cut] ^= 1;
+            assert_eq!(Book::parse(&changed, id(1)), Err(BookError::Damaged), "changed at {cut}");
+        }
+    }
+
+    /// Guards against a lower life that takes a higher one's place, and a book that grows without end or drops a member.
+    #[test]
+    fn only_higher_lives_are_noted_and_those_gone_make_room() {
+        let mut book = Book::new(id(1));
+        assert!(book.note(id(2), heard(5), |_| true));
+        assert!(!book.note(id(2), heard(5), |_| true) && !book.note(id(2), heard(4), |_| true));
+        let member = |n: usize| MemberId((n as u64 + (1 << 40)).to_le_bytes());
+        for n in 0..2 * MOST_HEARD {
+            book.note(member(n), heard(9), |of| of == id(2));
+        }
+        assert_eq!(book.heard.len(), MOST_HEARD);
+        assert_eq!(book.heard[&id(2)], heard(5));
+    }
+}
--- /dev/null
+++ b/crates/micadrum-peers/src/peer.rs
@@ -0,0 +1,171 @@
+//! One other member, as it is known here: what came from it, and the question that is out to it.
+use crate::ceiling::{Bucket, Ceiling};
+use crate::life::Life;
+use crate::member::Member;
+use crate::seal::Pair;
+use crate::view::{PeerView, Reach, Status};
+use crate::window::Window;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Questions whose answers may still come late: they tell how slow a link is.
+const REMEMBERED: usize = 48;
+/// Bounds of the time that an answer is waited for.
+const LEAST_WAIT: Duration = Duration::from_millis(100);
+const MOST_WAIT: Duration = Duration::from_secs(10);
+/// The same before anything is known of a link.
+const FIRST_WAIT: Duration = Duration::from_millis(300);
+/// A member that says more than this is flooding.
+const FLOOD: Ceiling = Ceiling { datagrams: 400.0, bytes: 200_000.0 };
+
+/// Where a question stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// Asked straight.
+    Straight,
+    /// Asked again, and through others.
+    Through,
+}
+
+/// A question that has no answer yet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Question {
+    /// When it was first asked.
+    pub began: Duration,
+    pub stage: Stage,
+    /// Rounds, straight and through others, that got no answer.
+    pub rounds: u32,
+    /// When the next thing happens.
+    pub timer: Duration,
+}
+
+/// A question that was sent, for the answer that may come.
+struct Sent {
+    nonce: u32,
+    at: Duration,
+    straight: bool,
+}
+
+pub(crate) struct Peer {
+    pub member: Member,
+    /// Made when it is first needed; none if its key is none.
+    pub pair: Option<Pair>,
+    pub status: Status,
+    pub since: Duration,
+    pub forgot: bool,
+    /// The life whose datagrams the window tells apart.
+    pub speaks: Option<Life>,
+    pub window: Window,
+    pub flood: Bucket,
+    pub question: Option<Question>,
+    heard: Option<(Duration, Reach)>,
+    /// When it was last heard straight.
+    pub straight: Option<Duration>,
+    /// When it last answered what went to it straight.
+    pub answered: Option<Duration>,
+    sent: VecDeque<Sent>,
+    round_trip: Option<(Duration, Duration)>,
+    /// Tries to reach it while it is dead: every second one goes through another.
+    pub tries: u32,
+    /// It is in line to be asked.
+    pub urgent: bool,
+    /// When it was last asked.
+    pub asked_at: Option<Duration>,
+    /// The life under which it said that it ends.
+    pub left: Option<Life>,
+}
+
+impl Peer {
+    pub fn new(member: Member, pair: Option<Pair>, now: Duration) -> Self {
+        Self {
+            member,
+            pair,
+            status: Status::Unknown,
+            since: now,
+            forgot: false,
+            speaks: None,
+            window: Window::default(),
+            flood: Bucket::new(FLOOD, now),
+            question: None,
+            heard: None,
+            straight: None,
+            answered: None,
+            sent: VecDeque::new(),
+            round_trip: None,
+            tries: 0,
+            urgent: false,
+            asked_at: None,
+            left: None,
+        }
+    }
+
+    /// Whether it is asked in its turn: those that are dead or have left are tried apart.
+    pub fn is_asked(&self) -> bool {
+        !matches!(self.status, Status::Dead | Status::Left)
+    }
+
+    /// A sign of it came.
+    pub fn came(&mut self, now: Duration, reach: Reach) {
+        self.heard = Some((now, reach));
+        if reach == Reach::Direct {
+            self.straight = Some(now);
+        }
+    }
+
+    pub fn heard(&self) -> Option<Duration> {
+        self.heard.map(|(at, _)| at)
+    }
+
+    /// A question went out.
+    pub fn asked(&mut self, nonce: u32, now: Duration, straight: bool) {
+        self.asked_at = Some(now);
+        if self.sent.len() == REMEMBERED {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(Sent { nonce, at: now, straight });
+    }
+
+    /// An answer came: whether to a question of ours, and when that was asked.
+    pub fn answer(&mut self, nonce: u32, now: Duration) -> Option<Duration> {
+        let place = self.sent.iter().position(|sent| sent.nonce == nonce)?;
+        let Sent { at, straight, .. } = self.sent.remove(place)?;
+        if straight {
+            self.answered = Some(now);
+            let took = now.saturating_sub(at);
+            self.round_trip = Some(match self.round_trip {
+                None => (took, took / 2),
+                Some((mean, spread)) => ((mean * 7 + took) / 8, (spread * 3 + took.abs_diff(mean)) / 4),
+            });
+        }
+        Some(at)
+    }
+
+    /// How long an answer is waited for (after RFC 6298).
+    pub fn wait(&self) -> Duration {
+        let wait = self.round_trip.map_or(FIRST_WAIT, |(mean, spread)| mean + spread * 4);
+        wait.clamp(LEAST_WAIT, MOST_WAIT)
+    }
+
+    /// Another life of it speaks: what came under the one before says nothing of this one.
+    pub fn begins(&mut self, life: Life, forgot: bool) {
+        self.speaks = Some(life);
+        self.window = Window::default();
+        self.forgot = forgot;
+    }
+
+    pub fn view(&self, life: Option<Life>) -> PeerView {
+        PeerView {
+            name: self.member.name.clone(),
+            address: self.member.address,
+            building: self.member.building.clone(),
+            status: self.status,
+            since: self.since,
+            heard: self.heard(),
+            reach: self.heard.map(|(_, reach)| reach),
+            answered: self.answered,
+            round_trip: self.round_trip.map(|(mean, _)| mean),
+            life,
+            forgot: self.forgot,
+        }
+    }
+}
--- a/crates/micadrum-rehearsal/src/lib.rs
+++ b/crates/micadrum-rehearsal/src/lib.rs
@@ -17,6 +17,6 @@
 pub mod report;
 pub mod scenario;
 pub mod sim;
-pub mod units;
+pub use micadrum_operator::units;
 mod wire;
 mod world;
