--- a/crates/micadrum-operator/src/peers.rs
+++ b/crates/micadrum-operator/src/peers.rs
@@ -101,7 +101,7 @@
             let what = || format!("`{name}` must be at least {}/s", least / factor);
             if rate >= least { Ok(rate) } else { Err(text.wrong(given.span(), what())) }
         };
-        let probe_every = within(self.probe_every, Span::millis(200), PROBE_EVERY, "probe_every")?;
+        let probe_every = within(self.probe_every, Span::millis(100), PROBE_EVERY, "probe_every")?;
         let dead_place = self.dead_after.as_ref().map_or(0..0, Spanned::span);
         let dead_after = within(self.dead_after, Span::seconds(1), DEAD_AFTER, "dead_after")?;
         if dead_after.0 < 3 * probe_every.0 {
--- a/crates/micadrum-operator/src/tests.rs
+++ b/crates/micadrum-operator/src/tests.rs
@@ -22,7 +22,7 @@
         (file("probe_evry = \"1 s\"\n"), 3, "did you mean `probe_every`?"),
         (file("probe_every = \"200\"\n"), 3, "needs a unit"),
         (file("probe_every = \"1 ms\"\n"), 3, "`probe_every` must lie between 50 ms and 10 s"),
-        (file("dead_after = \"300 ms\"\n"), 3, "three times `probe_every`"),
+        (file("dead_after = \"250 ms\"\n"), 3, "three times `probe_every`"),
         (file("datagrams = \"5/s\"\n"), 3, "`datagrams` must be at least 20/s"),
         (file("kilobytes = \"1/s\"\n"), 3, "`kilobytes` must be at least 4/s"),
         (file("") + &member("n2", 3, &key(3)), 14, "the member \"n2\" stands twice"),
@@ -48,7 +48,7 @@
     let one = Operator::parse("o", &file(""), "n1").unwrap().peers.unwrap();
     let turned = format!("[peers]\nsecret = \"s\"\n{}{}", member("n2", 2, &key(2)), member("n1", 1, &key(1)));
     assert_eq!(Some(&one), Operator::parse("o", &turned, "n1").unwrap().peers.as_ref());
-    assert_eq!((one.probe_every, one.dead_after), (units::Span::millis(200), units::Span::seconds(1)));
+    assert_eq!((one.probe_every, one.dead_after), (units::Span::millis(100), units::Span::seconds(1)));
     assert_eq!(one.members["n2"].key, [2; 32]);
     assert_eq!(Operator::parse("o", "", "n1").unwrap(), Operator::default());
     let most: String = (0..1001).map(|n| member(&format!("m{n}"), 10 + n, &format!("{n:064x}"))).collect();
--- a/crates/micadrum-peers/src/peers.rs
+++ b/crates/micadrum-peers/src/peers.rs
@@ -17,9 +17,9 @@
 /// Members that are asked to pass a question on.
 const THROUGH: usize = 3;
 /// A round of questions to a suspect takes at least this.
-const LEAST_ROUND: Duration = Duration::from_millis(200);
+const LEAST_ROUND: Duration = Duration::from_millis(150);
 /// Rounds without an answer before a suspect can be dead.
-const ROUNDS: u32 = 3;
+const ROUNDS: u32 = 5;
 /// Between two rounds while nobody at all answers.
 const ALONE_ROUND: Duration = Duration::from_millis(500);
 /// Each of the dead is tried once in this, as far as [`MOST_TRIES`] allows.
@@ -30,6 +30,8 @@
 const TELL_ALL: usize = 64;
 /// News waits so long for more of it.
 const TELL_AFTER: Duration = Duration::from_millis(10);
+/// ... and for the last news to have been told: in a storm most of it goes together.
+const TELL_AGAIN: Duration = Duration::from_millis(200);
 /// A member that was heard within this is not asked for a rumour's sake.
 const FRESH: Duration = Duration::from_millis(300);
 /// What was heard of lives is written down so long after it was.
@@ -179,6 +181,7 @@
     urgent_at: Option<Duration>,
     next_probe: Duration,
     tell_at: Option<Duration>,
+    told_at: Option<Duration>,
     write_at: Option<Duration>,
     writing: bool,
     /// When a question was asked that somebody answered, the last such.
@@ -238,6 +241,7 @@
             urgent_at: None,
             next_probe: now,
             tell_at: None,
+            told_at: None,
             write_at: None,
             writing: false,
             touched: None,
@@ -583,7 +587,9 @@
         };
         let times = (self.told_at_once() + 2 * self.doublings()) as u32;
         self.rumours.add(Rumour { about: id, life, word }, times);
-        self.tell_at = self.tell_at.or(Some(now + TELL_AFTER));
+        let soon = now + TELL_AFTER;
+        let tell_at = self.told_at.map_or(soon, |told| soon.max(told + TELL_AGAIN));
+        self.tell_at = self.tell_at.or(Some(tell_at));
     }
 
     fn hear(&mut self, rumours: &[Rumour], now: Duration) {
@@ -625,6 +631,7 @@
             self.no_answer(id, now);
         }
         if self.tell_at.take_if(|at| *at <= now).is_some() {
+            self.told_at = Some(now);
             self.tell(now);
         }
         if self.next_probe <= now {
@@ -746,7 +753,7 @@
             question.rounds = question.rounds.saturating_sub(1);
         }
         let least = if self.cut_off { ALONE_ROUND } else { LEAST_ROUND };
-        question.timer = now + (wait * 2).max(least);
+        question.timer = now + (wait * 3 / 2).max(least);
         if let Some(peer) = self.peers.get_mut(&id) {
             peer.question = Some(question);
             self.timers.insert((question.timer, id));
--- a/crates/micadrum-peers/tests/fleet/world.rs
+++ b/crates/micadrum-peers/tests/fleet/world.rs
@@ -12,7 +12,7 @@
 }
 
 pub const SETTINGS: Settings = Settings {
-    probe_every: ms(200),
+    probe_every: ms(100),
     dead_after: ms(1000),
     ceiling: Ceiling { datagrams: 400.0, bytes: 100_000.0 },
 };
@@ -218,13 +218,15 @@
     /// Whom the views of those that run are wrong about: live ones that are not held for live, gone ones that are.
     pub fn wrong(&self) -> Vec<(usize, usize, Status)> {
         let mut wrong = Vec::new();
+        let numbers: BTreeMap<&str, usize> =
+            self.members.iter().enumerate().map(|(n, member)| (&*member.name, n)).collect();
         for n in self.running() {
-            for other in (0..self.nodes.len()).filter(|other| *other != n) {
-                let status = self.status(n, other);
-                let gone = matches!(status, Status::Dead | Status::Left | Status::Unknown);
-                let right = if self.nodes[other].is_some() { status == Status::Live } else { gone };
+            for peer in self.view(n).peers {
+                let Some(other) = numbers.get(&*peer.name).copied() else { continue };
+                let gone = matches!(peer.status, Status::Dead | Status::Left | Status::Unknown);
+                let right = if self.nodes[other].is_some() { peer.status == Status::Live } else { gone };
                 if !right {
-                    wrong.push((n, other, status));
+                    wrong.push((n, other, peer.status));
                 }
             }
         }
--- a/crates/micadrum-rehearsal/src/ground.rs
+++ b/crates/micadrum-rehearsal/src/ground.rs
@@ -62,7 +62,9 @@
             let [out, back] = [from, to].map(|sender| fault.senders.contains(&sender));
             match fault.kind {
                 FaultKind::Cut => {
+                    let other = if out { to } else { from };
                     let lost = out != back
+                        && fault.between.as_ref().is_none_or(|between| between.contains(&other))
                         && match fault.ways {
                             Ways::Both => true,
                             Ways::Out => out,
--- a/crates/micadrum-rehearsal/src/history.rs
+++ b/crates/micadrum-rehearsal/src/history.rs
@@ -4,7 +4,7 @@
 use crate::observation::At;
 use crate::plan::Plan;
 use micadrum_peers::{Event, Status};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// One thing that is recorded.
 #[derive(Clone, Debug, PartialEq)]
@@ -78,28 +78,63 @@
         )
     }
 
-    /// How long after `from` the last wrong view was put right, with none wrong from then up to `until`; none if some are
-    /// wrong at its end. A sender that runs is to be live, one that does not is to be dead or to have left.
+    /// How long after `from` the last wrong view was put right, with none wrong from then up to `until`. A sender that
+    /// runs is to be live, one that does not is to be dead or to have left.
     ///
     /// # Errors
     /// The views that are wrong at the end.
     pub fn right_after(&self, from: At, until: At) -> Result<At, Vec<Wrong>> {
         let mut fold = Fold::new(self.names.len());
-        let mut last_wrong = None;
-        let mut was_wrong = false;
+        let mut last_wrong = from;
         for record in self.records.iter().take_while(|record| record.at < until) {
-            if record.at > from && was_wrong {
-                last_wrong = Some(record.at);
+            if !fold.wrong.is_empty() && record.at > from {
+                last_wrong = record.at;
             }
             fold.take(record, &self.names);
-            if record.at >= from {
-                was_wrong = !fold.wrong().is_empty();
-            } else {
-                was_wrong = true;
+        }
+        if fold.wrong.is_empty() { Ok(last_wrong - from) } else { Err(fold.wrong()) }
+    }
+
+    /// Each moment at which something happened to the fleet (a process started or ended, a fault of its links began or
+    /// ended), with the time from it until no view was wrong; none where something else happened before that.
+    #[must_use]
+    pub fn settled(&self) -> Vec<(At, Option<At>)> {
+        let mut fold = Fold::new(self.names.len());
+        let mut settled: Vec<(At, Option<At>)> = Vec::new();
+        let mut open = false;
+        for record in &self.records {
+            fold.take(record, &self.names);
+            if !matches!(record.what, What::Peers(_)) {
+                match settled.last_mut().filter(|(at, took)| *at == record.at && took.is_none()) {
+                    Some(_) => {}
+                    None => settled.push((record.at, None)),
+                }
+                open = true;
+            }
+            if open && fold.wrong.is_empty() {
+                open = false;
+                if let Some((at, took)) = settled.last_mut() {
+                    *took = Some(record.at - *at);
+                }
+            } else if !open && !fold.wrong.is_empty() {
+                // Wrong again with nothing new: the last happening is not settled yet.
+                open = true;
+                if let Some((_, took)) = settled.last_mut() {
+                    *took = None;
+                }
             }
         }
-        let wrong = fold.wrong();
-        if wrong.is_empty() { Ok(last_wrong.unwrap_or(from) - from) } else { Err(wrong) }
+        settled
+    }
+
+    /// When something last happened to the fleet.
+    #[must_use]
+    pub fn last_happening(&self) -> Option<At> {
+        self.records
+            .iter()
+            .rev()
+            .find(|record| !matches!(record.what, What::Peers(_)))
+            .map(|record| record.at)
     }
 
     /// Deaths that were declared of senders that ran, while nothing struck them, those who declared them, or any other
@@ -132,47 +167,60 @@
     }
 }
 
-/// What each sender believes at one moment.
+/// What each sender believes at one moment, and which of it is wrong.
 struct Fold {
     /// Whether it runs.
     runs: Vec<bool>,
     /// By who believes and of whom.
     believed: Vec<Vec<Status>>,
+    wrong: BTreeSet<(u32, u32)>,
 }
 
 impl Fold {
     fn new(senders: usize) -> Self {
-        Self { runs: vec![false; senders], believed: vec![vec![Status::Unknown; senders]; senders] }
+        let believed = vec![vec![Status::Unknown; senders]; senders];
+        Self { runs: vec![false; senders], believed, wrong: BTreeSet::new() }
     }
 
     fn take(&mut self, record: &Record, names: &BTreeMap<String, u32>) {
         let sender = record.sender as usize;
         match &record.what {
-            What::Started => {
-                self.runs[sender] = true;
+            What::Started | What::Ended => {
+                self.runs[sender] = record.what == What::Started;
                 self.believed[sender].fill(Status::Unknown);
+                for other in 0..self.runs.len() {
+                    self.look(sender, other);
+                    self.look(other, sender);
+                }
             }
-            What::Ended => self.runs[sender] = false,
             What::Peers(Event::Changed { name, is, .. }) => {
                 if let Some(of) = names.get(name) {
                     self.believed[sender][*of as usize] = *is;
+                    self.look(sender, *of as usize);
                 }
             }
             What::Peers(_) | What::Struck(_) => {}
         }
     }
 
-    fn wrong(&self) -> Vec<Wrong> {
-        let mut wrong = Vec::new();
-        for (by, believed) in self.believed.iter().enumerate().filter(|(by, _)| self.runs[*by]) {
-            for (of, status) in believed.iter().enumerate().filter(|(of, _)| *of != by) {
-                let gone = matches!(status, Status::Dead | Status::Left);
-                if !(if self.runs[of] { *status == Status::Live } else { gone }) {
-                    wrong.push((by as u32, of as u32, *status));
-                }
-            }
+    fn look(&mut self, by: usize, of: usize) {
+        let status = self.believed[by][of];
+        let right = if self.runs[of] {
+            status == Status::Live
+        } else {
+            matches!(status, Status::Dead | Status::Left)
+        };
+        let pair = (by as u32, of as u32);
+        if by != of && self.runs[by] && !right {
+            self.wrong.insert(pair);
+        } else {
+            self.wrong.remove(&pair);
         }
-        wrong
+    }
+
+    fn wrong(&self) -> Vec<Wrong> {
+        let with_status = |(by, of): &(u32, u32)| (*by, *of, self.believed[*by as usize][*of as usize]);
+        self.wrong.iter().map(with_status).collect()
     }
 }
 
@@ -207,6 +255,7 @@
         assert_eq!(history.right_after(50, 60), Err(vec![(0, 1, Status::Live)]));
         changed(&mut history, 80, 0, 1, Status::Dead);
         assert_eq!(history.right_after(50, 100), Ok(30));
+        assert_eq!(history.settled(), [(0, Some(30)), (50, Some(30))]);
     }
 
     /// Guards against a live sender that is held for dead with nothing wrong, and is not told of.
--- a/crates/micadrum-rehearsal/src/live/mod.rs
+++ b/crates/micadrum-rehearsal/src/live/mod.rs
@@ -313,7 +313,7 @@
         play(&world, |_, _| {}).await?;
         let now = world.now();
         let mut recorder = world.into_recorder();
-        let verdict = recorder.verdict(now);
+        let verdict = recorder.verdict(now, plan.scenario.operator.is_some());
         Ok(Report::new(&plan, &recorder, verdict, true))
     })
 }
--- a/crates/micadrum-rehearsal/src/main.rs
+++ b/crates/micadrum-rehearsal/src/main.rs
@@ -33,6 +33,9 @@
         /// Adds faults drawn from the seed
         #[arg(long)]
         random_faults: bool,
+        /// Adds faults of senders and of what they say to each other, drawn from the seed
+        #[arg(long)]
+        peer_faults: bool,
         /// Writes the report for machines too
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
@@ -53,6 +56,9 @@
         /// Adds faults drawn from the seed
         #[arg(long)]
         random_faults: bool,
+        /// Adds faults of senders and of what they say to each other, drawn from the seed
+        #[arg(long)]
+        peer_faults: bool,
         /// Writes the report for machines too
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
@@ -67,6 +73,9 @@
         /// The seeds, both ends included
         #[arg(long, value_name = "A..B", value_parser = range)]
         seeds: RangeInclusive<u64>,
+        /// Faults of senders and of what they say to each other, in place of the others
+        #[arg(long)]
+        peer_faults: bool,
         /// Runs at once; the machine's cores if not given
         #[arg(long, value_name = "N", value_parser = clap::value_parser!(u16).range(1..))]
         jobs: Option<u16>,
@@ -120,6 +129,13 @@
 /// A day as long as this tells how far it is without being asked.
 const LONG: Span = Span::seconds(3600);
 
+/// Which faults are drawn from the seed.
+#[derive(Clone, Copy)]
+struct Random {
+    faults: bool,
+    peers: bool,
+}
+
 /// Why nothing was judged.
 enum Wrong {
     /// The command or a file.
@@ -134,15 +150,18 @@
 }
 
 impl Day {
-    fn plan(&self, scenario: &Scenario, seed: u64, random: bool) -> Plan {
+    fn plan(&self, scenario: &Scenario, seed: u64, random: Random) -> Plan {
         let mut scenario = scenario.clone();
         if let Some(length) = self.length {
             scenario.set_length(length);
         }
         let mut plan = Plan::new(scenario, seed);
-        if random {
+        if random.faults {
             plan.add_random_faults();
         }
+        if random.peers {
+            plan.add_peer_faults();
+        }
         if let Some(Faults(only)) = &self.faults {
             plan.keep_faults(only);
         }
@@ -201,25 +220,30 @@
             Ok(ExitCode::SUCCESS)
         }
         What::Check { scenarios } => Ok(check(&scenarios)),
-        What::Sim { day, seed, random_faults, json, logs, progress } => {
-            let plan = day.plan(&scenario(&day.scenario)?, seed, random_faults);
+        What::Sim { day, seed, random_faults, peer_faults, json, logs, progress } => {
+            let random = Random { faults: random_faults, peers: peer_faults };
+            let plan = day.plan(&scenario(&day.scenario)?, seed, random);
             let progress = progress || plan.length() >= LONG;
             finish(&sim::run(plan, sim::Show { logs, progress }).map_err(failed)?, json)
         }
-        What::Live { day, seed, random_faults, json, daemon } => {
-            let plan = day.plan(&scenario(&day.scenario)?, seed, random_faults);
+        What::Live { day, seed, random_faults, peer_faults, json, daemon } => {
+            let random = Random { faults: random_faults, peers: peer_faults };
+            let plan = day.plan(&scenario(&day.scenario)?, seed, random);
             finish(&live::run(plan, daemon).map_err(failed)?, json)
         }
-        What::Hunt { day, seeds, jobs } => {
+        What::Hunt { day, seeds, peer_faults, jobs } => {
             let scenario = scenario(&day.scenario)?;
             let cores = || std::thread::available_parallelism().map_or(1, usize::from);
-            let plan = |seed| day.plan(&scenario, seed, true);
+            let random = Random { faults: !peer_faults, peers: peer_faults };
+            let plan = |seed| day.plan(&scenario, seed, random);
             let found = hunt::run(seeds, jobs.map_or_else(cores, usize::from), &plan, &|done, found| {
                 if done % 50 == 0 {
                     eprintln!("{done} seeds, {found} that break a rule");
                 }
             });
-            let options = day.length.map_or(String::new(), |length| format!(" --length \"{length}\""));
+            let length = day.length.map_or(String::new(), |length| format!(" --length \"{length}\""));
+            let drawn = if peer_faults { " --peer-faults" } else { " --random-faults" };
+            let options = format!("{length}{drawn}");
             for one in &found.failing {
                 println!("{}", one.text(&day.scenario, &options));
             }
--- a/crates/micadrum-rehearsal/src/plan.rs
+++ b/crates/micadrum-rehearsal/src/plan.rs
@@ -107,6 +107,8 @@
 pub const OVERLOAD_FACTOR: f64 = 2.0;
 /// ... for this long, it falls over.
 pub const FALL: Span = Span::millis(1500);
+/// Drawn faults between senders are over so long before the end of the day, in seconds.
+pub const PEERS_SETTLE: f64 = 15.0;
 /// A connection not made within this never comes up.
 pub const CONNECT_TIMEOUT: Span = Span::millis(1500);
 
@@ -248,6 +250,8 @@
     pub down: Span,
     /// Which way a cut holds.
     pub ways: Ways,
+    /// Senders that a cut is from; all others where that is not given.
+    pub between: Option<Vec<u32>>,
     /// Whether it is one from partners too.
     pub from_partners: bool,
     /// Added delay that chance draws, at the most.
@@ -344,6 +348,20 @@
         self.faults.sort_by_key(|fault| fault.from);
     }
 
+    /// Adds faults of senders and of what they say to each other, drawn from the seed: a few a minute, all of them over a
+    /// good while before the end of the day, so that views can settle.
+    pub fn add_peer_faults(&mut self) {
+        let mut dice = Dice::new(self.seed, "peer faults");
+        let length = (self.length().as_secs() - PEERS_SETTLE).max(2.0);
+        let count = 3 + dice.below(4) + (length / 30.0) as usize;
+        for n in 0..count {
+            let fault = random_peer_fault(&mut dice, length);
+            let fault = self.draw(&fault, 2000 + n);
+            self.faults.push(fault);
+        }
+        self.faults.sort_by_key(|fault| fault.from);
+    }
+
     fn draw(&self, fault: &Fault, number: usize) -> PlannedFault {
         let mut dice = Dice::new(self.seed, &format!("fault {number}"));
         let building = fault
@@ -393,6 +411,7 @@
             place: fault.place.unwrap_or(Where::After),
             down: fault.down.unwrap_or(Span::millis(600)),
             ways: fault.ways.unwrap_or_default(),
+            between: fault.between.clone(),
             from_partners: fault.from_partners.unwrap_or(false),
             jitter: fault.jitter.unwrap_or_default(),
             folder: fault.folder.unwrap_or_default(),
@@ -461,6 +480,33 @@
     fault
 }
 
+fn random_peer_fault(dice: &mut Dice, length: f64) -> Fault {
+    use FaultKind::{Cut, Lose, MachineLost, Pause, Restart, Slow};
+    const KINDS: [FaultKind; 8] = [Cut, Cut, Slow, Lose, Pause, Restart, Restart, MachineLost];
+    let kind = KINDS[dice.below(KINDS.len())];
+    let mut span = |low: f64, high: f64| Span::millis((dice.between(low, high) * 1e3) as u64);
+    let at = span(1.0, (length * 0.8).max(1.1));
+    let lasts = span(0.3, 8.0);
+    let mut fault = Fault::new(kind, at);
+    let most = Span::millis((length * 1e3) as u64).0.saturating_sub(at.0).max(1);
+    fault.lasts = Some(Span(lasts.0.min(most)));
+    // A slow answer is waited for longer and longer: nobody is dead within the day by that alone.
+    fault.delay = Some(span(0.05, 1.0));
+    fault.jitter = Some(span(0.0, 0.2));
+    fault.down = Some(span(0.3, 4.0));
+    fault.every = Some(span(0.3, 2.0));
+    fault.calls = Some(Percent((dice.between(5.0, 40.0)).round()));
+    fault.share = Some(Percent((dice.between(5.0, 60.0)).round()));
+    fault.ways = Some([Ways::Both, Ways::Out, Ways::In][dice.below(3)]);
+    fault.how = Some(if dice.chance(0.7) { How::Kill } else { How::Term });
+    if matches!(kind, Restart | MachineLost) {
+        fault.lasts = None;
+        fault.batch = Some(1 + dice.below(3) as u32);
+        fault.share = Some(Percent((dice.between(5.0, 40.0)).round()));
+    }
+    fault
+}
+
 fn partners(scenario: &Scenario, seed: u64) -> Vec<Partner> {
     let mut dice = Dice::new(seed, "partners");
     let count = *scenario.partners.get_ref();
@@ -634,7 +680,10 @@
                 }
             }
             FaultKind::KillAtWrite => add(format!("{:?} write {}", self.place, self.nth)),
-            FaultKind::Cut => add(format!("ways {:?}, partners too: {}", self.ways, self.from_partners)),
+            FaultKind::Cut => {
+                let between = self.between.as_ref().map_or(String::new(), |from| format!(" from {from:?}"));
+                add(format!("ways {:?}{between}, partners too: {}", self.ways, self.from_partners));
+            }
             FaultKind::Slow => add(format!("by {} and up to {}", self.delay, self.jitter)),
             FaultKind::Lose => add(format!("{:.0}% lost", self.calls * 100.0)),
             _ => {}
--- a/crates/micadrum-rehearsal/src/recorder.rs
+++ b/crates/micadrum-rehearsal/src/recorder.rs
@@ -1,6 +1,6 @@
 //! Goes through what was seen as it comes: the judge's rules, and the figures of service.
 use crate::history::History;
-use crate::judge::{Judge, Verdict};
+use crate::judge::{Judge, Verdict, look_at_views};
 use crate::observation::{At, MessageEnd, Seen, Told};
 use crate::plan::{AIM, Arrival, Class, LATE_WORTH, PlannedFault, TENANTS};
 use hdrhistogram::Histogram;
@@ -207,8 +207,12 @@
         latency.saturating_record(took.max(1));
     }
 
-    /// The judge's verdict, once the run is over.
-    pub fn verdict(&mut self, at: At) -> Verdict {
-        std::mem::take(&mut self.judge).verdict(at)
+    /// The judge's verdict, once the run is over; `peers` where senders know each other.
+    pub fn verdict(&mut self, at: At, peers: bool) -> Verdict {
+        let mut verdict = std::mem::take(&mut self.judge).verdict(at);
+        if peers {
+            look_at_views(&self.history, at, &mut verdict);
+        }
+        verdict
     }
 }
--- a/crates/micadrum-rehearsal/src/report.rs
+++ b/crates/micadrum-rehearsal/src/report.rs
@@ -1,6 +1,7 @@
 //! The report of a run, for people and for machines.
 use crate::history::History;
 use crate::judge::{Break, Rule, Verdict, seconds};
+use crate::observation::At;
 use crate::plan::{Class, Plan, TENANTS};
 use crate::recorder::{Recorder, WINDOW};
 use serde::Serialize;
@@ -67,6 +68,10 @@
     pub fell: Vec<String>,
     /// The first breaks, with their histories.
     pub breaks: Vec<Break>,
+    /// Where senders know each other: when something happened to the fleet, and how long after it all views were right,
+    /// in microseconds; none where something else happened before that.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub views_right: Vec<(At, Option<At>)>,
 }
 
 /// The whole report.
@@ -160,6 +165,11 @@
                 not_played: recorder.not_played.clone(),
                 fell: verdict.fell,
                 breaks: verdict.breaks,
+                views_right: if plan.scenario.operator.is_some() {
+                    recorder.history.settled()
+                } else {
+                    Vec::new()
+                },
             },
             history: recorder.history.clone(),
         }
@@ -218,6 +228,17 @@
         for fault in &played.not_played {
             line(format!("  not played here: {fault}"));
         }
+        let mut took: Vec<At> = played.views_right.iter().filter_map(|(_, took)| *took).collect();
+        took.sort_unstable();
+        if let (Some(median), Some(most)) = (took.get(took.len() / 2), took.last()) {
+            line(format!(
+                "  views of each other right after {} of {} happenings: median {} s, most {} s",
+                took.len(),
+                played.views_right.len(),
+                seconds(*median),
+                seconds(*most)
+            ));
+        }
         for broken in played.breaks.iter().take(MOST_SHOWN) {
             let id = broken.id.as_deref().unwrap_or("-");
             line(format!("{:?} at {}, message {id}: {}", broken.rule, seconds(broken.at), broken.what));
--- a/crates/micadrum-rehearsal/src/scenario.rs
+++ b/crates/micadrum-rehearsal/src/scenario.rs
@@ -245,6 +245,8 @@
     pub down: Option<Span>,
     /// Which way a cut holds.
     pub ways: Option<Ways>,
+    /// Senders that a cut is from, by number from 0; all others if it is not given.
+    pub between: Option<Vec<u32>>,
     /// Whether a cut is one from partners too.
     pub from_partners: Option<bool>,
     /// Added delay that chance draws, at the most.
@@ -336,7 +338,7 @@
             Self::KillAtWrite => (&["nth", "where"], &["senders", "share", "building", "down"]),
             Self::LinkDelay => (&["for", "delay"], &[]),
             Self::LinkHold | Self::LinkDrop => (&["for"], &[]),
-            Self::Cut => (&["for"], &["senders", "share", "building", "ways", "from_partners"]),
+            Self::Cut => (&["for"], &["senders", "share", "building", "ways", "between", "from_partners"]),
             Self::Slow => (&["for", "delay"], &["senders", "share", "building", "jitter"]),
             Self::Lose => (&["for", "calls"], &["senders", "share", "building"]),
             Self::Pause => (&["for"], SENDERS),
@@ -380,6 +382,7 @@
             place: None,
             down: None,
             ways: None,
+            between: None,
             from_partners: None,
             jitter: None,
             folder: None,
@@ -403,6 +406,7 @@
             ("where", self.place.is_some()),
             ("down", self.down.is_some()),
             ("ways", self.ways.is_some()),
+            ("between", self.between.is_some()),
             ("from_partners", self.from_partners.is_some()),
             ("jitter", self.jitter.is_some()),
             ("folder", self.folder.is_some()),
@@ -435,6 +439,7 @@
         };
         known(&self.partners, *scenario.partners.get_ref(), "partner")?;
         known(&self.senders, *scenario.senders.get_ref(), "sender")?;
+        known(&self.between, *scenario.senders.get_ref(), "sender")?;
         if self.nth == Some(0) || self.batch == Some(0) {
             return Err("`nth` and `batch` count from 1".to_owned());
         }
--- a/crates/micadrum-rehearsal/src/sim/mod.rs
+++ b/crates/micadrum-rehearsal/src/sim/mod.rs
@@ -282,7 +282,7 @@
         .await?;
         let now = world.now();
         let mut recorder = world.into_recorder();
-        let verdict = recorder.verdict(now);
+        let verdict = recorder.verdict(now, plan.scenario.operator.is_some());
         Ok(Report::new(&plan, &recorder, verdict, false))
     })
 }
--- a/crates/micadrum-rehearsal/tests/peers.rs
+++ b/crates/micadrum-rehearsal/tests/peers.rs
@@ -15,7 +15,7 @@
 fn day(senders: u32, length: u32, crossing: &str, faults: &str) -> Scenario {
     let text = format!(
         "title = \"peers\"\nlength = \"{length} s\"\nsenders = {senders}\npartners = 3\ntraffic = \"4/s\"\n\
-         crossing = \"{crossing}\"\ntail = \"4 s\"\n[operator.peers]\nprobe_every = \"200 ms\"\ndead_after = \"1 s\"\n{faults}"
+         crossing = \"{crossing}\"\ntail = \"4 s\"\n[operator.peers]\nprobe_every = \"100 ms\"\ndead_after = \"1 s\"\n{faults}"
     );
     Scenario::parse("peers.toml", &text).unwrap_or_else(|e| panic!("{e}\n{text}"))
 }
