Peers: links between members, who sees whom at the door, and round trips that are not one's own fault

Links: framed streams free of I/O (crates/micadrum-peers/src/link.rs): both sides show who they are and under which life, each frame is whole, counted and under a tag of this link alone, windows and queues are bounded, a silent side is given up after 3.5 s. Cut at every length, changed at every bit, repeated, mirrored: nothing is taken. Live, links pass through relays too; new fault `break`, and `[[look]]`.

Round trips are no longer measured in the first second of a process or after it stood still, and a link that was not measured yet takes what its building usually takes.

--- a/crates/micadrum-peers/src/lib.rs
+++ b/crates/micadrum-peers/src/lib.rs
@@ -15,6 +15,7 @@
 mod ceiling;
 mod health;
 mod life;
+mod link;
 mod member;
 mod peer;
 mod peers;
@@ -26,6 +27,7 @@
 
 pub use ceiling::Ceiling;
 pub use life::{Book, BookError, Life};
+pub use link::{Full, Link, LinkError, LinkEvent, MOST_PAYLOAD};
 pub use member::{Member, MemberId, Roster, RosterError};
 pub use peers::{Event, Input, Output, Peers, Settings, Standing};
 pub use seal::{Secret, WeakKey};
--- a/crates/micadrum-peers/src/peer.rs
+++ b/crates/micadrum-peers/src/peer.rs
@@ -39,6 +39,30 @@
     pub timer: Duration,
 }
 
+/// There and back, as it was measured (after RFC 6298).
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Trip {
+    mean: Duration,
+    spread: Duration,
+}
+
+impl Trip {
+    /// That of a first measurement.
+    pub fn first(took: Duration) -> Self {
+        Self { mean: took, spread: took / 2 }
+    }
+
+    /// Takes one in.
+    pub fn measure(&mut self, took: Duration) {
+        let off = took.abs_diff(self.mean);
+        *self = Self { mean: (self.mean * 7 + took) / 8, spread: (self.spread * 3 + off) / 4 };
+    }
+
+    fn wait(self) -> Duration {
+        self.mean + self.spread * 4
+    }
+}
+
 /// A question that was sent, for the answer that may come.
 struct Sent {
     nonce: u32,
@@ -64,7 +88,7 @@
     /// When it last answered what went to it straight.
     pub answered: Option<Duration>,
     sent: VecDeque<Sent>,
-    round_trip: Option<(Duration, Duration)>,
+    trip: Option<Trip>,
     /// Tries to reach it while it is dead: every second one goes through another.
     pub tries: u32,
     /// It is in line to be asked.
@@ -91,7 +115,7 @@
             straight: None,
             answered: None,
             sent: VecDeque::new(),
-            round_trip: None,
+            trip: None,
             tries: 0,
             urgent: false,
             asked_at: None,
@@ -125,25 +149,24 @@
         self.sent.push_back(Sent { nonce, at: now, straight });
     }
 
-    /// An answer came: whether to a question of ours, and when that was asked.
-    pub fn answer(&mut self, nonce: u32, now: Duration) -> Option<Duration> {
+    /// An answer came: whether to a question of ours, when that was asked, and whether it went straight. It tells how slow
+    /// the link is if `measures`.
+    pub fn answer(&mut self, nonce: u32, now: Duration, measures: bool) -> Option<(Duration, bool)> {
         let place = self.sent.iter().position(|sent| sent.nonce == nonce)?;
         let Sent { at, straight, .. } = self.sent.remove(place)?;
         if straight {
             self.answered = Some(now);
             let took = now.saturating_sub(at);
-            self.round_trip = Some(match self.round_trip {
-                None => (took, took / 2),
-                Some((mean, spread)) => ((mean * 7 + took) / 8, (spread * 3 + took.abs_diff(mean)) / 4),
-            });
+            if measures {
+                self.trip.get_or_insert_with(|| Trip::first(took)).measure(took);
+            }
         }
-        Some(at)
+        Some((at, straight))
     }
 
-    /// How long an answer is waited for (after RFC 6298).
-    pub fn wait(&self) -> Duration {
-        let wait = self.round_trip.map_or(FIRST_WAIT, |(mean, spread)| mean + spread * 4);
-        wait.clamp(LEAST_WAIT, MOST_WAIT)
+    /// How long an answer is waited for; `usual` is that of its building, for a link that was not measured yet.
+    pub fn wait(&self, usual: Option<Trip>) -> Duration {
+        self.trip.or(usual).map_or(FIRST_WAIT, Trip::wait).clamp(LEAST_WAIT, MOST_WAIT)
     }
 
     /// Another life of it speaks: what came under the one before says nothing of this one.
@@ -163,7 +186,7 @@
             heard: self.heard(),
             reach: self.heard.map(|(_, reach)| reach),
             answered: self.answered,
-            round_trip: self.round_trip.map(|(mean, _)| mean),
+            round_trip: self.trip.map(|trip| trip.mean),
             life,
             forgot: self.forgot,
         }
--- a/crates/micadrum-peers/src/peers.rs
+++ b/crates/micadrum-peers/src/peers.rs
@@ -3,7 +3,7 @@
 use crate::health::Health;
 use crate::life::{Book, Heard, Life, Stamp};
 use crate::member::{MemberId, Roster};
-use crate::peer::{Peer, Question, Stage};
+use crate::peer::{Peer, Question, Stage, Trip};
 use crate::rumours::{MOST_IN_ONE, Rumour, Rumours, Word};
 use crate::seal::Secret;
 use crate::view::{Counts, Reach, Status, View};
@@ -34,6 +34,8 @@
 const TELL_AGAIN: Duration = Duration::from_millis(200);
 /// A member that was heard within this is not asked for a rumour's sake.
 const FRESH: Duration = Duration::from_millis(300);
+/// From its begin or its waking on, a process does not trust its own clockwork for so long.
+const STEADY: Duration = Duration::from_secs(1);
 /// What was heard of lives is written down so long after it was.
 const WRITE_AFTER: Duration = Duration::from_millis(200);
 /// After a write that failed.
@@ -165,6 +167,8 @@
     renewals: u32,
     /// Those that know this life as the highest.
     confirmed: BTreeSet<MemberId>,
+    /// What links to each building take, for those that were not measured yet.
+    usual: BTreeMap<String, Trip>,
     peers: BTreeMap<MemberId, Peer>,
     timers: BTreeSet<(Duration, MemberId)>,
     rumours: Rumours,
@@ -228,6 +232,7 @@
             standing: Standing::Writing,
             renewals: 0,
             confirmed: BTreeSet::new(),
+            usual: BTreeMap::new(),
             peers: BTreeMap::new(),
             timers: BTreeSet::new(),
             rumours: Rumours::default(),
@@ -427,6 +432,7 @@
         let known: BTreeSet<MemberId> = self.peers.keys().copied().collect();
         self.timers.retain(|(_, id)| known.contains(id));
         self.confirmed.retain(|id| known.contains(id));
+        self.usual.retain(|building, _| self.peers.values().any(|peer| peer.member.building == *building));
         self.ring.retain(|id| known.contains(id));
         self.dead_ring.retain(|id| known.contains(id));
         self.urgent.retain(|id| known.contains(id));
@@ -443,7 +449,7 @@
         self.touched = None;
         self.timers.clear();
         for (id, peer) in &mut self.peers {
-            let wait = peer.wait();
+            let wait = peer.wait(self.usual.get(&peer.member.building).copied());
             if let Some(question) = &mut peer.question {
                 *question = Question { began: now, stage: Stage::Straight, rounds: 0, timer: now + wait };
                 self.timers.insert((question.timer, *id));
@@ -509,8 +515,15 @@
             // What it knows of this sender it knows now, whatever life it speaks under itself.
             Body::Ack { nonce, known, rumours, .. } if to_run == self.life.run => {
                 if fresh {
-                    let asked = self.peers.get_mut(&from).and_then(|peer| peer.answer(nonce, now));
-                    if let Some(asked) = asked {
+                    // A process that has just begun, or stood still, is slow itself: what it measures then, it would
+                    // hold against the links for long.
+                    let steady = self.begun.max(self.health.woke().unwrap_or_default()) + STEADY;
+                    let measures = now >= steady;
+                    let asked = self.peers.get_mut(&from).and_then(|peer| peer.answer(nonce, now, measures));
+                    if let Some((asked, straight)) = asked {
+                        if measures && straight {
+                            self.measured(from, now.saturating_sub(asked));
+                        }
                         self.touched = self.touched.max(Some(asked));
                         self.health.better();
                     }
@@ -562,6 +575,15 @@
         self.change(id, Status::Live, now);
     }
 
+    /// An answer took so long, there and back.
+    fn measured(&mut self, from: MemberId, took: Duration) {
+        let Some(peer) = self.peers.get(&from) else { return };
+        match self.usual.get_mut(&peer.member.building) {
+            Some(trip) => trip.measure(took),
+            None => drop(self.usual.insert(peer.member.building.clone(), Trip::first(took))),
+        }
+    }
+
     /// What is believed of a member is another thing now: those who should ask it themselves are told.
     fn change(&mut self, id: MemberId, is: Status, now: Duration) {
         let Some(peer) = self.peers.get_mut(&id).filter(|peer| peer.status != is) else { return };
@@ -715,7 +737,7 @@
             return false;
         }
         if let Some(peer) = self.peers.get_mut(&id) {
-            let timer = now + self.health.patience(peer.wait());
+            let timer = now + self.health.patience(peer.wait(self.usual.get(&peer.member.building).copied()));
             peer.question = Some(Question { began: now, stage: Stage::Straight, rounds: 0, timer });
             self.timers.insert((timer, id));
         }
@@ -725,8 +747,9 @@
     /// A question got no answer in its time.
     fn no_answer(&mut self, id: MemberId, now: Duration) {
         let Some(peer) = self.peers.get(&id) else { return };
-        let (Some(mut question), wait) = (peer.question, self.health.patience(peer.wait())) else { return };
-        let patience = self.health.patience(self.settings.dead_after.max(peer.wait() * 3));
+        let wait = peer.wait(self.usual.get(&peer.member.building).copied());
+        let patience = self.health.patience(self.settings.dead_after.max(wait * 3));
+        let (Some(mut question), wait) = (peer.question, self.health.patience(wait)) else { return };
         let status = peer.status;
         if question.stage == Stage::Through {
             question.rounds += 1;
--- a/crates/micadrum-peers/tests/fleet/main.rs
+++ b/crates/micadrum-peers/tests/fleet/main.rs
@@ -1,4 +1,5 @@
 //! The fleet as its members see it, in simulated time: what each failure does to views and lives.
+mod links;
 mod lives;
 mod strangers;
 mod views;
--- /dev/null
+++ b/crates/micadrum-rehearsal/src/live/links.rs
@@ -0,0 +1,78 @@
+//! Links between real senders on their way through the kit: delayed, held, or broken within a frame.
+use crate::ground::{Ground, Stretch};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+/// Between two looks whether what is held may go on.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Passes on the links that `from` opens to `to`.
+pub async fn pass(
+    listener: TcpListener,
+    from: u32,
+    to: u32,
+    home: Rc<Cell<Option<SocketAddr>>>,
+    ground: Rc<RefCell<Ground>>,
+) {
+    let begun = Instant::now();
+    let broken = Rc::<Cell<Option<u64>>>::default();
+    loop {
+        let Ok((near, _)) = listener.accept().await else { continue };
+        let (home, ground, broken) = (home.clone(), ground.clone(), broken.clone());
+        spawn_local(async move {
+            let Some(home) = home.get() else { return };
+            let Ok(far) = TcpStream::connect(home).await else { return };
+            let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
+            let way = |from, to| Way { from, to, ground: ground.clone(), begun, broken: broken.clone() };
+            // Where one way ends or breaks, so does the other.
+            tokio::select! {
+                () = way(from, to).carry(near_in, far_out) => {}
+                () = way(to, from).carry(far_in, near_out) => {}
+            }
+        });
+    }
+}
+
+/// One way of a link.
+struct Way {
+    from: u32,
+    to: u32,
+    ground: Rc<RefCell<Ground>>,
+    begun: Instant,
+    /// When a link between the two was last broken.
+    broken: Rc<Cell<Option<u64>>>,
+}
+
+impl Way {
+    async fn carry(self, mut read: OwnedReadHalf, mut write: OwnedWriteHalf) {
+        let mut buffer = vec![0; 16 * 1024];
+        loop {
+            let Ok(length @ 1..) = read.read(&mut buffer).await else { return };
+            loop {
+                let now = self.begun.elapsed().as_micros() as u64;
+                let stretch = self.ground.borrow().stretch(self.from, self.to, now, &self.broken);
+                match stretch {
+                    Stretch::Comes(delay) => {
+                        sleep(delay).await;
+                        break;
+                    }
+                    Stretch::Held => sleep(LOOK).await,
+                    Stretch::Breaks => {
+                        let _ = write.write_all(&buffer[..length / 2]).await;
+                        return;
+                    }
+                }
+            }
+            if write.write_all(&buffer[..length]).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/crates/micadrum-rehearsal/src/live/mod.rs
+++ b/crates/micadrum-rehearsal/src/live/mod.rs
@@ -1,4 +1,5 @@
 //! The built daemon as processes on loopback, with real signals, kills and restarts.
+mod links;
 mod relays;
 
 use crate::ground::{Ground, hex};
@@ -20,7 +21,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tempfile::TempDir;
-use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
 use tokio::process::Command;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
@@ -98,6 +100,8 @@
     copy: PathBuf,
     running: RefCell<Option<Running>>,
     address: Cell<Option<SocketAddr>>,
+    /// The operators' door of its process.
+    door: Rc<Cell<Option<SocketAddr>>>,
 }
 
 struct LiveFleet {
@@ -155,7 +159,7 @@
             .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", self.daemon.display())))?;
         let log = child.stderr.take().map(BufReader::new);
         let (told, listens) = oneshot::channel();
-        let relays = self.relays.clone();
+        let (relays, door) = (self.relays.clone(), node.door.clone());
         spawn_local(async move {
             let Some(log) = log else { return };
             let mut lines = log.lines();
@@ -164,6 +168,9 @@
             while let Ok(Some(line)) = lines.next_line().await {
                 relays.logged(sender, &line);
                 log_lines(&line);
+                if let Some(at) = line.strip_prefix("operators: listening on ") {
+                    door.set(at.parse().ok());
+                }
                 if let Some(address) = line.strip_prefix("listening on ")
                     && let Some(told) = told.take()
                 {
@@ -223,6 +230,23 @@
         self.stop(sender, Stop::Pause(paused));
     }
 
+    fn door(&self) -> Option<SocketAddr> {
+        Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
+    }
+
+    fn look(&self, sender: u32) -> LocalFuture<'_, Option<String>> {
+        let door = self.nodes[sender as usize].door.get();
+        Box::pin(async move {
+            let mut line = TcpStream::connect(door?).await.ok()?;
+            line.write_all(b"GET /status/peers/all HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+                .await
+                .ok()?;
+            let mut text = String::new();
+            line.read_to_string(&mut text).await.ok()?;
+            text.split_once("\r\n\r\n").map(|(_, body)| body.to_owned())
+        })
+    }
+
     fn copy_folder(&self, sender: u32, back: bool) {
         let node = &self.nodes[sender as usize];
         let (from, to) = if back { (&node.copy, &node.state) } else { (&node.state, &node.copy) };
@@ -302,7 +326,14 @@
         let node = |_| {
             let folder = tempfile::tempdir()?;
             let (state, copy) = (folder.path().join("state"), folder.path().join("copy"));
-            Ok(Node { folder, state, copy, running: RefCell::default(), address: Cell::default() })
+            Ok(Node {
+                folder,
+                state,
+                copy,
+                running: RefCell::default(),
+                address: Cell::default(),
+                door: Rc::default(),
+            })
         };
         let nodes = plan.senders.iter().map(node).collect::<io::Result<_>>()?;
         let ground = Rc::new(RefCell::new(Ground::new(&plan)));
--- a/crates/micadrum-rehearsal/src/live/relays.rs
+++ b/crates/micadrum-rehearsal/src/live/relays.rs
@@ -1,11 +1,12 @@
 //! What real senders say to each other goes through sockets of the kit: one for each pair and way, where the ground
 //! decides what becomes of it.
+use super::links;
 use crate::ground::Ground;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -37,9 +38,10 @@
                     row.push(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
                     continue;
                 }
-                let door = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+                let (door, links) = both().await?;
                 row.push(door.local_addr()?);
                 let way = Way { from: from as u32, to: to as u32, home: home.clone(), out: out.clone() };
+                spawn_local(links::pass(links, way.from, way.to, way.home.clone(), ground.clone()));
                 spawn_local(way.pass(door, ground.clone()));
             }
             doors.push(row);
@@ -60,6 +62,20 @@
     }
 }
 
+/// A socket for datagrams and one for links, at one address.
+async fn both() -> io::Result<(UdpSocket, TcpListener)> {
+    let mut tries = 0;
+    loop {
+        let door = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        match TcpListener::bind(door.local_addr()?).await {
+            Ok(links) => return Ok((door, links)),
+            // Somebody else has the port for streams: another one.
+            Err(e) if tries >= 20 => return Err(e),
+            Err(_) => tries += 1,
+        }
+    }
+}
+
 /// From one sender to another.
 struct Way {
     from: u32,
--- a/crates/micadrum-rehearsal/src/plan.rs
+++ b/crates/micadrum-rehearsal/src/plan.rs
@@ -685,6 +685,7 @@
                 add(format!("ways {:?}{between}, partners too: {}", self.ways, self.from_partners));
             }
             FaultKind::Slow => add(format!("by {} and up to {}", self.delay, self.jitter)),
+            FaultKind::Break => add(format!("one every {}", self.every)),
             FaultKind::Lose => add(format!("{:.0}% lost", self.calls * 100.0)),
             _ => {}
         }
--- a/crates/micadrum-rehearsal/src/scenario.rs
+++ b/crates/micadrum-rehearsal/src/scenario.rs
@@ -62,6 +62,9 @@
     /// Hours of more traffic.
     #[serde(default)]
     pub peak: Vec<Peak>,
+    /// Moments at which a sender is asked what all of them see, by number from 0 (live only).
+    #[serde(default)]
+    pub look: Vec<Look>,
     /// What goes wrong.
     #[serde(default)]
     pub fault: Vec<Spanned<Fault>>,
@@ -91,6 +94,16 @@
     pub times: f64,
 }
 
+/// A look at what senders see of each other.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Look {
+    /// When.
+    pub at: Spanned<Span>,
+    /// Whose door is asked.
+    pub sender: u32,
+}
+
 /// The kinds of fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -153,6 +166,8 @@
     Slow,
     /// A share of what senders say to each other is lost; some of it comes twice or out of turn.
     Lose,
+    /// Links between senders break, one in the middle of a frame every `every`.
+    Break,
     /// Senders stand still, and go on believing the time before.
     Pause,
 }
@@ -341,13 +356,14 @@
             Self::Cut => (&["for"], &["senders", "share", "building", "ways", "between", "from_partners"]),
             Self::Slow => (&["for", "delay"], &["senders", "share", "building", "jitter"]),
             Self::Lose => (&["for", "calls"], &["senders", "share", "building"]),
+            Self::Break => (&["for", "every"], SENDERS),
             Self::Pause => (&["for"], SENDERS),
         }
     }
 
     /// Whether it strikes what senders say to each other.
     pub fn strikes_peers(self) -> bool {
-        matches!(self, Self::Cut | Self::Slow | Self::Lose)
+        matches!(self, Self::Cut | Self::Slow | Self::Lose | Self::Break)
     }
 
     /// Whether it strikes endpoints of partners.
@@ -518,6 +534,11 @@
             let place = operator.span().start;
             ground::operator_file(operator.get_ref(), &[]).map_err(|what| error(place, what))?;
         }
+        for look in &scenario.look {
+            let fits = look.sender < *scenario.senders.get_ref() && *look.at.get_ref() <= length;
+            let what = "a look is at a sender, by number from 0, and within the day".to_owned();
+            bound(fits, look.at.span().start, what)?;
+        }
         for peak in &scenario.peak {
             let end = Span(peak.at.get_ref().0 + peak.lasts.0);
             let what = format!("the peak ends at {end}, outside the day of {length}");
--- a/crates/micadrum-rehearsal/src/sim/mod.rs
+++ b/crates/micadrum-rehearsal/src/sim/mod.rs
@@ -158,6 +158,15 @@
         }
     }
 
+    fn door(&self) -> Option<SocketAddr> {
+        None
+    }
+
+    fn look(&self, _: u32) -> LocalFuture<'_, Option<String>> {
+        // Links between simulated senders are not struck: a look at them would show nothing.
+        Box::pin(async { None })
+    }
+
     fn copy_folder(&self, sender: u32, back: bool) {
         self.nodes[sender as usize].disk.borrow_mut().copy(back);
     }
--- a/crates/micadrum-rehearsal/src/world/faults.rs
+++ b/crates/micadrum-rehearsal/src/world/faults.rs
@@ -122,7 +122,9 @@
                 net.relieve(fault);
             }
         }
-        FaultKind::Cut | FaultKind::Slow | FaultKind::Lose => between_senders(world, fault, until).await,
+        FaultKind::Cut | FaultKind::Slow | FaultKind::Lose | FaultKind::Break => {
+            between_senders(world, fault, until).await
+        }
         FaultKind::Pause => pause(world, fault, until).await,
         FaultKind::DeadHosts => {
             let mut dice = Dice::new(world.plan.seed, &format!("ghosts {}", fault.from));
--- a/crates/micadrum-rehearsal/src/world/mod.rs
+++ b/crates/micadrum-rehearsal/src/world/mod.rs
@@ -332,6 +332,9 @@
                 "period": 5000, "report": {"how": "answers", "names": ["x0", "x1"]}, "weights": "none"
             }
         });
+        if let (Some(door), true) = (self.fleet.door(), plan.scenario.operator.is_some()) {
+            config["management"] = json!(door.to_string());
+        }
         for lie in &plan.lies {
             if let Some(place) = config.pointer_mut(&lie.pointer) {
                 *place = lie.value.clone();
@@ -371,6 +374,16 @@
     senders::start_all(world).await?;
     let begun = world.now();
     faults::play(world, begun);
+    for look in world.plan.scenario.look.clone() {
+        let world = world.clone();
+        tokio::task::spawn_local(async move {
+            world.until(begun + look.at.get_ref().0).await;
+            if let Some(text) = world.fleet.look(look.sender).await {
+                let now = world.now();
+                world.recorder().history.add_look(now, look.sender, &text);
+            }
+        });
+    }
     let watch = world.clone();
     let ticker = tokio::task::spawn_local(async move {
         for minute in 1.. {
--- a/crates/micadrum-rehearsal/src/world/senders.rs
+++ b/crates/micadrum-rehearsal/src/world/senders.rs
@@ -52,6 +52,12 @@
     /// Lets it stand still, or go on.
     fn pause(&self, sender: u32, paused: bool);
 
+    /// Where senders are to open a door for operators, if they are.
+    fn door(&self) -> Option<SocketAddr>;
+
+    /// What its door says of all members; none where nobody can ask.
+    fn look(&self, sender: u32) -> LocalFuture<'_, Option<String>>;
+
     /// Keeps a copy of the folder that lasts, or puts that copy in its place.
     fn copy_folder(&self, sender: u32, back: bool);
 
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -31,6 +31,9 @@
         /// Its operators' door; the one in PROXY_CONFIG's file if not given
         #[arg(long, value_name = "ADDRESS")]
         door: Option<SocketAddr>,
+        /// Has it ask all of them, and shows who sees whom
+        #[arg(long)]
+        all: bool,
     },
 }
 
@@ -60,13 +63,16 @@
         match self {
             Self::Check { file, name } => check(&file, name),
             Self::Key { file } => key(&file),
-            Self::Peers { door } => {
+            Self::Peers { door, all } => {
                 let door = match door {
                     Some(door) => door,
                     None => platform()?.management.ok_or(CommandError::NoDoor)?,
                 };
-                let view = door::get(door, "/status/peers")?;
-                print!("{}", peers::table(&view));
+                if all {
+                    print!("{}", peers::matrix(&door::get(door, "/status/peers/all")?));
+                } else {
+                    print!("{}", peers::table(&door::get(door, "/status/peers")?));
+                }
                 Ok(())
             }
         }
--- a/src/command/peers.rs
+++ b/src/command/peers.rs
@@ -1,5 +1,7 @@
 //! What a sender believes of its peers, as a table.
 use micadrum_peers::{PeerView, Reach, Standing, Status, View};
+use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::time::Duration;
 
@@ -49,6 +51,50 @@
     text
 }
 
+/// What one member sees, or why it did not say, as the door tells it.
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Seen {
+    View(Box<View>),
+    Silent(String),
+}
+
+/// Who sees whom: a row a member that was asked, a column a member that is seen.
+pub fn matrix(all: &Option<BTreeMap<String, Seen>>) -> String {
+    let Some(all) = all else { return "peers: not speaking yet: the address is not free\n".to_owned() };
+    let width = all.keys().map(String::len).max().unwrap_or(0).max(4);
+    let mut text = format!("{:width$}", "");
+    for name in all.keys() {
+        let _ = write!(text, " {name:>width$}");
+    }
+    text.push('\n');
+    for (name, seen) in all {
+        let _ = write!(text, "{name:width$}");
+        match seen {
+            Seen::Silent(why) => drop(write!(text, " {why}")),
+            Seen::View(view) => {
+                let cell = |other: &String| {
+                    let peer = view.peers.iter().find(|peer| peer.name == *other);
+                    match peer.map(|peer| peer.status) {
+                        None if other == name => "-",
+                        None => "?",
+                        Some(Status::Unknown) => ".",
+                        Some(Status::Live) => "live",
+                        Some(Status::Suspect) => "susp",
+                        Some(Status::Dead) => "DEAD",
+                        Some(Status::Left) => "left",
+                    }
+                };
+                for other in all.keys() {
+                    let _ = write!(text, " {:>width$}", cell(other));
+                }
+            }
+        }
+        text.push('\n');
+    }
+    text
+}
+
 fn standing(standing: Standing) -> &'static str {
     match standing {
         Standing::Writing => "silent until its life is written down",
--- a/src/daemon/management.rs
+++ b/src/daemon/management.rs
@@ -2,7 +2,7 @@
 use super::budget::OPERATORS;
 use super::input::{Ask, AskError, Doors, Input};
 use super::latest::Latest;
-use super::peers::Views;
+use super::peers::{Gathering, Views};
 use super::ports::{Listener, Log, Stream};
 use super::server::{House, Lingering, Seat, collect, plain};
 use bytes::Bytes;
@@ -28,12 +28,15 @@
 /// No id is longer.
 const MOST_ID: usize = 1024;
 
+/// What is believed of the peers, and a way to ask them what they believe.
+type Peers = (Views, Gathering);
+
 /// Serves operators for as long as the process runs. With all places taken, the caller who came first goes.
 pub async fn serve(
     listener: Box<dyn Listener>,
     host: UnboundedSender<Input>,
     doors: Latest<Doors>,
-    peers: Option<Views>,
+    peers: Option<Peers>,
     log: Rc<dyn Log>,
 ) {
     let house = House::new(OPERATORS, BODIES);
@@ -64,7 +67,7 @@
     seat: Arc<Seat>,
     host: UnboundedSender<Input>,
     doors: Latest<Doors>,
-    peers: Option<Views>,
+    peers: Option<Peers>,
 ) {
     let service = service_fn(|request| {
         let (house, host, doors, peers) = (house.clone(), host.clone(), doors.get(), peers.clone());
@@ -89,21 +92,27 @@
     house: &House,
     host: &UnboundedSender<Input>,
     doors: Doors,
-    peers: Option<&Views>,
+    peers: Option<&Peers>,
 ) -> Response<Full<Bytes>> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/status") if doors == Doors::Open => plain(StatusCode::OK, "ready\n"),
         (&Method::GET, "/status") => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         (&Method::GET, "/status/metrics") => figures(host).await,
         (&Method::GET, "/status/peers") => match peers {
-            Some(peers) => json(&peers.now()),
+            Some((views, _)) => json(&views.now()),
+            None => plain(StatusCode::NOT_FOUND, "peers are off\n"),
+        },
+        (&Method::GET, "/status/peers/all") => match peers {
+            Some((_, gathering)) => json(&gathering.all().await),
             None => plain(StatusCode::NOT_FOUND, "peers are off\n"),
         },
         (&Method::POST, "/maintenance/enter") => maintain(request, house, host, true).await,
         (&Method::POST, "/maintenance/exit") => maintain(request, house, host, false).await,
-        (_, "/status" | "/status/metrics" | "/status/peers" | "/maintenance/enter" | "/maintenance/exit") => {
-            plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n")
-        }
+        (
+            _,
+            "/status" | "/status/metrics" | "/status/peers" | "/status/peers/all" | "/maintenance/enter"
+            | "/maintenance/exit",
+        ) => plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n"),
         _ => plain(StatusCode::NOT_FOUND, "not found\n"),
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -108,7 +108,7 @@
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed.clone()))?;
     let mut budget = Budget::new(&config.limits, config.settings.most_calls(), config.management.is_some());
     if let Some(peers) = &config.operator.peers {
-        budget.set_aside(1, peers::room(peers.members.len()));
+        budget.set_aside(peers::DESCRIPTORS, peers::room(peers.members.len()));
     }
     let shape = config.shape();
     let (inputs, mut from_all) = unbounded_channel();
@@ -122,7 +122,7 @@
             listener,
             inputs.clone(),
             doors.clone(),
-            peers.as_ref().map(peers::Handle::views),
+            peers.as_ref().map(|peers| (peers.views(), peers.gathering())),
             ports.log.clone(),
         ));
     }
--- a/src/daemon/peers/mod.rs
+++ b/src/daemon/peers/mod.rs
@@ -1,11 +1,14 @@
 //! The senders that know each other, on a real socket: feeds [`Peers`] what comes and when, and carries out what it
 //! says. It decides nothing.
 mod book;
+mod links;
 mod tell;
 
 use super::config::Config;
 use super::ports::{Datagrams, Ports};
 use book::Shelf;
+pub use links::Gathering;
+use links::{Linking, Seen};
 use micadrum_operator::Operator;
 use micadrum_peers::{
     Book, Ceiling, Input, MOST_DATAGRAM, Member, Output, Peers, Roster, RosterError, Secret, Settings, View,
@@ -13,12 +16,14 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tell::Tell;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::task::{JoinHandle, spawn_local};
+use tokio::sync::oneshot;
+use tokio::task::{JoinHandle, JoinSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// The address may be held by the process before: it is asked for again after this.
@@ -68,12 +73,15 @@
     Ok(Some(Members { settings, roster }))
 }
 
+/// Descriptors that the sockets of peers and links to them may take.
+pub const DESCRIPTORS: usize = 2 + 2 * links::MOST_ACCEPTED;
+
 /// Bytes of the folder that lasts that the book of lives may take, with the one that takes its place.
 pub fn room(members: usize) -> u64 {
     book::room(members)
 }
 
-/// Says no more; whoever holds it may look at what is believed.
+/// Shows what is believed to whoever holds it.
 #[derive(Clone)]
 pub struct Views {
     core: Rc<RefCell<Option<Peers>>>,
@@ -89,6 +97,7 @@
 
 enum Ask {
     Follow(Members),
+    All(oneshot::Sender<BTreeMap<String, Seen>>),
     Leave,
 }
 
@@ -106,6 +115,11 @@
         self.views.clone()
     }
 
+    /// Asks all members what they see.
+    pub fn gathering(&self) -> Gathering {
+        Gathering(self.asks.clone())
+    }
+
     /// Takes lists of members.
     pub fn follows(&self) -> UnboundedSender<Members> {
         self.follows.clone()
@@ -178,6 +192,13 @@
         });
         let chance = ChaCha8Rng::from_seed(self.ports.entropy);
         let Members { settings, roster } = members;
+        let (network, views) = (self.ports.network.clone(), self.views.clone());
+        let linking = Linking::new(network, secret.clone(), roster.clone(), self.ports.entropy, views);
+        // Links are taken where datagrams are; they end with this task.
+        let mut serving = JoinSet::new();
+        if let Ok(at) = socket.local_addr() {
+            serving.spawn_local(linking.clone().serve(at, self.ports.log.clone()));
+        }
         let core = Peers::new(settings, secret, roster, book, chance, self.views.origin.elapsed());
         *self.views.core.borrow_mut() = Some(core);
         let mut buffer = vec![0; MOST_DATAGRAM + 1];
@@ -188,7 +209,9 @@
             tokio::select! {
                 biased;
                 ask = self.from_daemon.recv() => match ask {
+                    Some(Ask::All(answer)) => links::gather(&linking, answer),
                     Some(Ask::Follow(Members { settings, roster })) => {
+                        linking.follow(roster.clone());
                         self.with(|peers, now| peers.handle(Input::Follow(settings, roster), now));
                     }
                     Some(Ask::Leave) => {
@@ -230,6 +253,8 @@
                 biased;
                 ask = self.from_daemon.recv() => match ask {
                     Some(Ask::Follow(next)) => *members = next,
+                    // Whoever asked hears that there is nothing to see yet.
+                    Some(Ask::All(_)) => {}
                     Some(Ask::Leave) | None => return None,
                 },
                 () = sleep(BIND_AGAIN) => {}
