--- a/crates/micadrum-rehearsal/src/sim/mod.rs
+++ b/crates/micadrum-rehearsal/src/sim/mod.rs
@@ -113,7 +113,7 @@
                 storage: Rc::new(ProcessFolder { disk: node.disk.clone(), process: process.clone() }),
                 log: Rc::new(SimLog { sender, origin: self.origin, shown: self.show_logs, lines }),
                 handover: None,
-                traces: Traces { calls: false, peers: true },
+                traces: Traces { calls: self.show_logs, peers: true },
                 entropy,
             };
             let (signals, from_world) = unbounded_channel();
--- a/crates/micadrum-rehearsal/tests/peers.rs
+++ b/crates/micadrum-rehearsal/tests/peers.rs
@@ -162,3 +162,44 @@
     judge_all_failures(&report);
     judge_links(&report);
 }
+
+/// Links of 110 ms that lose a fifth; a folder of yesterday put back; one killed in its midst.
+fn slow_and_lossy() -> Scenario {
+    let faults = [
+        fault("restart", 4, "how = \"kill\"\nsenders = [1]\ndown = \"600 ms\""),
+        fault("restart", 8, "how = \"kill\"\nsenders = [1]\ndown = \"600 ms\"\nfolder = \"older\""),
+        fault("lose", 11, "for = \"18 s\"\ncalls = \"20%\""),
+        fault("restart", 16, "how = \"kill\"\nsenders = [2]\ndown = \"9 s\""),
+    ];
+    day(8, 32, "110 ms", &faults.concat())
+}
+
+fn judge_slow_and_lossy(report: &Report) {
+    let history = &report.history;
+    let at = |seconds: u64| begun(history) + seconds * SECOND;
+    let forgot = history.events(1, at(8)).any(|(_, e)| matches!(e, Event::Forgotten { life: 3, known: 2 }));
+    assert!(forgot, "a folder of yesterday is recognised: {}", history.text());
+    right(report, at(9) + SECOND, at(11), "a folder of yesterday");
+    right(report, at(16), at(25), "one killed behind loss");
+    right(report, at(29), at(32), "after loss");
+    let deaths = history.records().iter().filter(|r| {
+        r.at > at(11)
+            && matches!(&r.what, What::Peers(Event::Changed { name, is: micadrum_peers::Status::Dead, .. }) if name != "n2")
+    });
+    assert_eq!(deaths.count(), 0, "loss kills nobody: {}", history.text());
+    assert!(report.verdict.kept, "{}", report.text());
+}
+
+/// Guards against slow and lossy links that hide a dead sender, or make a live one dead, in simulated time.
+#[test]
+fn slow_and_lossy_links_simulated() {
+    for seed in 1..=5 {
+        judge_slow_and_lossy(&common::play(Plan::new(slow_and_lossy(), seed)));
+    }
+}
+
+/// The same with real processes.
+#[test]
+fn slow_and_lossy_links_with_real_processes() {
+    judge_slow_and_lossy(&live::run(Plan::new(slow_and_lossy(), 1), Some(daemon())).unwrap());
+}
