--- /dev/null
+++ b/crates/micadrum-peers/src/peers/saying.rs
@@ -0,0 +1,111 @@
+//! What goes out: sealed, and as far as the ceiling allows.
+use super::{Output, Peers};
+use crate::ceiling::Rank;
+use crate::member::MemberId;
+use crate::peer::Peer;
+use crate::view::Status;
+use crate::wire::{self, Body, Header, MOST_DATAGRAM};
+use rand_chacha::rand_core::RngCore;
+use std::time::Duration;
+
+/// Rumours in a question or an answer.
+const FEW: usize = 6;
+
+impl Peers {
+    pub(super) fn next_nonce(&mut self) -> u32 {
+        self.nonce = self.nonce.wrapping_add(1);
+        self.nonce
+    }
+
+    /// A question that goes straight, with some rumours; whether the ceiling allowed it.
+    pub(super) fn ping(&mut self, id: MemberId, rank: Rank, now: Duration) -> bool {
+        let nonce = self.next_nonce();
+        let rumours = self.rumours.next(FEW);
+        let sent = self.send(id, &Body::Ping { nonce, stamp: self.stamp, rumours }, rank, now);
+        if sent && let Some(peer) = self.peers.get_mut(&id) {
+            peer.asked(nonce, now, true);
+        }
+        sent
+    }
+
+    /// The same through some others: one in its own building, where there is one, and whoever chance picks.
+    pub(super) fn ping_through(&mut self, id: MemberId, through: usize, now: Duration) {
+        let Some(building) = self.peers.get(&id).map(|peer| peer.member.building.clone()) else { return };
+        let mut others = self.shuffled(|peer| peer.status == Status::Live);
+        others.retain(|other| *other != id);
+        let beside = |other: &MemberId| self.peers.get(other).is_some_and(|p| p.member.building == building);
+        if let Some(place) = others.iter().position(beside) {
+            others.swap(0, place);
+        }
+        for other in others.into_iter().take(through) {
+            let nonce = self.next_nonce();
+            let ping = Body::Ping { nonce, stamp: self.stamp, rumours: Vec::new() };
+            let Some(sealed) = self.seal(id, self.run_of(id), &ping) else { return };
+            let sent = self.send(other, &Body::Relay { to: id, sealed }, Rank::Usual, now);
+            if sent && let Some(peer) = self.peers.get_mut(&id) {
+                peer.asked(nonce, now, false);
+            }
+        }
+    }
+
+    /// Answers a question, by the way that it came. One that cannot be shown to be fresh is answered all the same: a
+    /// sender that has forgotten learns so of its higher life. The answer goes to the address in the list and to the
+    /// run that asked, so nobody gains by sending an old question once more.
+    pub(super) fn answer(
+        &mut self,
+        id: MemberId,
+        run: u64,
+        nonce: u32,
+        via: Option<MemberId>,
+        fresh: bool,
+        now: Duration,
+    ) {
+        let known = self.book.heard.get(&id).copied();
+        let rumours = if fresh && via.is_none() { self.rumours.next(FEW) } else { Vec::new() };
+        let ack = Body::Ack { nonce, stamp: self.stamp, known, rumours };
+        let rank = if fresh { Rank::First } else { Rank::Last };
+        let Some(sealed) = self.seal(id, run, &ack) else { return };
+        match via {
+            Some(via) => drop(self.send(via, &Body::Relay { to: id, sealed }, rank, now)),
+            None => drop(self.put(id, sealed, rank, now)),
+        }
+    }
+
+    pub(super) fn run_of(&self, id: MemberId) -> u64 {
+        self.book.heard.get(&id).map_or(0, |heard| heard.life.run)
+    }
+
+    pub(super) fn seal(&mut self, to: MemberId, to_run: u64, body: &Body) -> Option<Vec<u8>> {
+        let pair = self.peers.get(&to)?.pair?;
+        self.number += 1;
+        let (from, life, number) = (self.roster.own(), self.life, self.number);
+        let header = Header { forgot: self.forgot, from, to, life, to_run, number };
+        Some(wire::seal(&header, body, &pair.out))
+    }
+
+    pub(super) fn send(&mut self, to: MemberId, body: &Body, rank: Rank, now: Duration) -> bool {
+        let sealed = self.seal(to, self.run_of(to), body);
+        sealed.is_some_and(|sealed| self.put(to, sealed, rank, now))
+    }
+
+    pub(super) fn put(&mut self, to: MemberId, sealed: Vec<u8>, rank: Rank, now: Duration) -> bool {
+        let Some(peer) = self.peers.get(&to) else { return false };
+        if sealed.len() > MOST_DATAGRAM || !self.bucket.take(now, sealed.len(), rank) {
+            self.counts.held_back += 1;
+            return false;
+        }
+        self.counts.sent += 1;
+        self.counts.sent_bytes += sealed.len() as u64;
+        self.outputs.push_back(Output::Send(peer.member.address, sealed));
+        true
+    }
+
+    pub(super) fn shuffled(&mut self, which: impl Fn(&Peer) -> bool) -> Vec<MemberId> {
+        let mut ids: Vec<MemberId> =
+            self.peers.iter().filter(|(_, peer)| which(peer)).map(|(id, _)| *id).collect();
+        for i in (1..ids.len()).rev() {
+            ids.swap(i, (self.chance.next_u64() % (i as u64 + 1)) as usize);
+        }
+        ids
+    }
+}
