--- a/crates/micadrum-peers/benches/detectors.rs
+++ b/crates/micadrum-peers/benches/detectors.rs
@@ -18,6 +18,10 @@
 use world::{CLEAN, Path, World, ms};
 
 const MEMBERS: usize = 20;
+/// foca waits a fixed time for an answer, and probes no sooner than twice that: one for clean links, with probes as often as
+/// ours, and one that the lossy links keep (110 to 220 ms there and back).
+const QUICK: Duration = ms(50);
+const SLOW: Duration = ms(250);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 struct Id {
@@ -65,10 +69,11 @@
 }
 
 impl Other {
-    fn started(seed: u64) -> Self {
+    /// On links whose answers come within `rtt`.
+    fn started(seed: u64, rtt: Duration) -> Self {
         let mut config = Config::simple();
-        config.probe_period = ms(200);
-        config.probe_rtt = ms(100);
+        config.probe_period = rtt * 2;
+        config.probe_rtt = rtt;
         config.suspect_to_down_after = ms(1000);
         config.remove_down_after = Duration::from_secs(3600);
         config.periodic_gossip = Some(foca::PeriodicParams {
@@ -206,7 +211,7 @@
             .rev()
             .find(|(_, _, event)| matches!(event, Event::Changed { is: Status::Dead, .. }));
         mine.extend(last.map(|(when, ..)| (*when - at).as_millis()));
-        let mut other = Other::started(seed);
+        let mut other = Other::started(seed, QUICK);
         let at = other.now;
         other.nodes[7] = None;
         other.run(ms(20_000));
@@ -224,7 +229,7 @@
         }
     }
     println!("killed, known to all 19: ours {}; foca {}", spread(mine), spread(theirs));
-    let (mut world, mut other) = (ours(1), Other::started(1));
+    let (mut world, mut other) = (ours(1), Other::started(1, SLOW));
     world.link = Box::new(lossy);
     other.link = Box::new(lossy);
     let (at, then) = (world.now, other.now);
@@ -242,7 +247,7 @@
     );
     let (mut mine, mut theirs) = (0, 0);
     for seed in 0..20 {
-        let (mut world, mut other) = (ours(seed), Other::started(seed));
+        let (mut world, mut other) = (ours(seed), Other::started(seed, QUICK));
         let (at, then) = (world.now, other.now);
         world.pause(2);
         other.paused = Some((2, Vec::new()));
@@ -258,7 +263,7 @@
     println!("one stands still for 5 s, 20 times: others held for dead: ours {mine}, foca {theirs}");
     let (mut mine, mut theirs) = (0, 0);
     for seed in 0..20 {
-        let (mut world, mut other) = (ours(seed), Other::started(seed));
+        let (mut world, mut other) = (ours(seed), Other::started(seed, QUICK));
         let (at, then) = (world.now, other.now);
         let cut = |from: usize, to: usize| Path { cut: from == 0 && to != 0, ..CLEAN };
         world.link = Box::new(cut);
--- a/crates/micadrum-peers/src/peers/hearing.rs
+++ b/crates/micadrum-peers/src/peers/hearing.rs
@@ -129,9 +129,7 @@
             return;
         }
         peer.came(now, reach);
-        if let Some(question) = peer.question.take() {
-            self.timers.remove(&(question.timer, id));
-        }
+        self.drop_question(id);
         self.heard = Some(now);
         if std::mem::take(&mut self.cut_off) {
             self.event(Event::CutOff(false));
@@ -154,17 +152,15 @@
         let was = std::mem::replace(&mut peer.status, is);
         peer.since = now;
         peer.left = if is == Status::Left { peer.speaks } else { None };
+        let name = peer.member.name.clone();
         if matches!(is, Status::Dead | Status::Left) {
-            if let Some(question) = peer.question.take() {
-                self.timers.remove(&(question.timer, id));
-            }
+            self.drop_question(id);
             self.dead_ring.push_back(id);
         }
         if is == Status::Dead {
             self.counts.deaths += 1;
         }
         let life = self.book.heard.get(&id).map_or(0, |heard| heard.life.number);
-        let name = peer.member.name.clone();
         self.event(Event::Changed { name, was, is, life });
         let word = match (was, is) {
             (_, Status::Suspect | Status::Dead) => Word::Silent,
--- a/src/daemon/peers/links.rs
+++ b/src/daemon/peers/links.rs
@@ -231,7 +231,8 @@
 
     async fn flush(&mut self) -> Result<(), LinkFailure> {
         while let Some(bytes) = self.link.poll_transmit() {
-            self.stream.write_all(&bytes).await?;
+            // One that does not read holds no place for longer than this.
+            timeout(PATIENCE, self.stream.write_all(&bytes)).await.map_err(|_| LinkFailure::Late)??;
         }
         Ok(())
     }
