--- a/crates/micadrum-rehearsal/src/judge/views.rs
+++ b/crates/micadrum-rehearsal/src/judge/views.rs
@@ -48,10 +48,10 @@
     use micadrum_peers::{Event, Status};
 
     const S: At = 1_000_000;
+    const TEXT: &str = "title = \"t\"\nlength = \"60 s\"\nsenders = 2\ntraffic = \"20/s\"\n";
 
     fn broken(changes: &[(At, u32, u32, Status)], end: At) -> Vec<Rule> {
-        let text = "title = \"t\"\nlength = \"60 s\"\nsenders = 2\ntraffic = \"20/s\"\n";
-        let mut history = History::new(&Plan::new(Scenario::parse("t", text).unwrap(), 1));
+        let mut history = History::new(&Plan::new(Scenario::parse("t", TEXT).unwrap(), 1));
         (0..2).for_each(|sender| history.add(0, sender, What::Started));
         for (at, by, of, is) in changes {
             let event = Event::Changed { name: format!("n{of}"), was: Status::Unknown, is: *is, life: 1 };
@@ -73,5 +73,12 @@
         assert_eq!(broken(&[good[0], (9 * S, 1, 0, Live)], 20 * S), [Rule::View], "one is seen late");
         let accused = [good[0], good[1], (10 * S, 1, 0, Dead), (11 * S, 1, 0, Live)];
         assert_eq!(broken(&accused, 20 * S), [Rule::View, Rule::Accused]);
+        // One that has ended is rightly held for dead, however late that is found.
+        let mut history = History::new(&Plan::new(Scenario::parse("t", TEXT).unwrap(), 1));
+        (0..2).for_each(|sender| history.add(0, sender, What::Started));
+        history.add(S, 0, What::Ended);
+        let dead = Event::Changed { name: "n0".to_owned(), was: Live, is: Dead, life: 1 };
+        history.add(9 * S, 1, What::Peers(dead));
+        assert_eq!(history.false_deaths(4 * S), []);
     }
 }
--- a/crates/micadrum-rehearsal/tests/recovery.rs
+++ b/crates/micadrum-rehearsal/tests/recovery.rs
@@ -145,6 +145,47 @@
     }
 }
 
+/// Guards against one building's return that believes its clocks, or does not ask those that never stopped, who tell the time.
+#[test]
+fn a_building_is_told_the_time_by_the_other() {
+    let errors = "[[fault]]\nkind = \"errors\"\nat = \"2 s\"\nfor = \"12 s\"\ncalls = \"30%\"\n".to_owned();
+    let faults =
+        [errors, loss(6, "building = \"building-a\"\nclock = \"3 h\"\nwith_partners = true")].concat();
+    for seed in 1..=8 {
+        let report = common::play(Plan::new(day(20, MACHINE, &faults), seed));
+        assert!(report.verdict.kept, "seed {seed}\n{}", report.text());
+        let returned = returned(&report.history);
+        assert_eq!(returned.len(), 3);
+        for of in returned {
+            let trust = of.trust.unwrap();
+            let (Clock::Off(by) | Clock::Behind(by)) = trust.clock else { continue };
+            let told = trust.offset.unwrap().unsigned_abs();
+            assert!(told > 5 * SECOND && by > SECOND, "seed {seed}: {trust:?}");
+        }
+    }
+}
+
+/// Guards against a return that works where nothing else goes wrong alone: real processes of which one never comes back, one
+/// has lost its folder and one has an older copy.
+#[test]
+fn real_processes_that_forgot_hold_nobody_up() {
+    let faults = [
+        loss(4, "back = \"2 s\"\nnever = \"20%\""),
+        loss(12, "senders = [0, 1]\nfolder = \"lost\""),
+        loss(18, "senders = [2, 3]\nfolder = \"older\""),
+    ];
+    let report = live::run(Plan::new(day(26, MACHINE, &faults.concat()), 3), Some(daemon())).unwrap();
+    assert!(report.verdict.kept, "{}\n{}", report.text(), report.history.text());
+    let (mut forgot, mut away) = (0, 0);
+    for of in report.history.returns() {
+        let Some(trust) = of.trust else { continue };
+        forgot += usize::from(trust.findings.iter().any(|finding| matches!(finding, Finding::Older { .. })));
+        away += usize::from(trust.machine == Machine::Another);
+    }
+    // Of the four that are struck later one may be gone for good.
+    assert!(forgot >= 3 && away >= 4, "{forgot} {away}\n{}", report.history.text());
+}
+
 /// Guards against a sender that sends again what may have run, as its journal was not written to outlast the machine; and
 /// against a proof that proves nothing: the same days without this part are convicted of it.
 #[test]
--- a/src/daemon/host/intake.rs
+++ b/src/daemon/host/intake.rs
@@ -3,7 +3,9 @@
 use crate::daemon::input::Answer;
 use crate::daemon::notices::Notice;
 use crate::daemon::store::{End, Handed, Owed};
-use crate::{ClassId, DestinationId, Event, Message, MessageId, OrderKey, Repeat, Resumed, Time, ZoneId};
+use crate::{
+    ClassId, DestinationId, Event, Message, MessageId, OrderKey, Repeat, Resumed, Span, Time, ZoneId,
+};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use tokio::time::Instant;
 
@@ -77,13 +79,14 @@
             key.hash(&mut hasher);
             OrderKey(hasher.finish())
         });
-        let budget = self.budget(class, owed.deadline);
+        let budget = Span(owed.deadline.saturating_sub(self.now().0));
         let destination = DestinationId(owed.message.destination);
         Ok(Message { id: MessageId(number), class, tenant, key, destination, budget })
     }
 
     /// Takes up what an earlier process left.
     pub(super) fn resume(&mut self) {
+        self.latest = self.store.latest();
         let owed: Vec<(u32, Owed)> = self.store.owed().map(|(number, owed)| (number, owed.clone())).collect();
         for (number, mut owed) in owed {
             self.numbers.insert(owed.message.id.clone(), number);
--- a/src/daemon/host/mod.rs
+++ b/src/daemon/host/mod.rs
@@ -109,6 +109,8 @@
     /// How service returns after a restart.
     returning: Returning,
     marks: Marks,
+    /// The last moment that the journal told of when it was opened, wall clock, microseconds.
+    latest: u64,
     /// Messages of before that are not to be sent yet.
     resting: Vec<Resumed>,
 }
@@ -237,6 +239,7 @@
             durable: Durable::new(&config.operator),
             returning,
             marks: Marks::default(),
+            latest: 0,
             resting: Vec::new(),
         };
         host.show_classes();
--- a/src/daemon/host/returning.rs
+++ b/src/daemon/host/returning.rs
@@ -4,7 +4,7 @@
 use crate::daemon::store::{Attempt, End, Owed};
 use crate::daemon::targets::Phase;
 use crate::{ClassId, Event, Repeat, Resumed, Span};
-use micadrum_recovery::owed::{Left, Repeats, Verdict, time_left};
+use micadrum_recovery::owed::{Left, Repeats, Verdict};
 use micadrum_recovery::stages::Input;
 use micadrum_recovery::words::OfEndpoint;
 use micadrum_recovery::{Caution, Stamp};
@@ -25,7 +25,10 @@
         let begun = owed.ran.as_ref().or(owed.out.as_ref()).map(|first| first.at);
         let not_before = self.store.not_before(number);
         match self.returning.judge(repeats, Left { ended: owed.end.is_some(), begun, not_before }) {
-            Verdict::AsWritten => None,
+            Verdict::AsWritten => {
+                self.reset_deadline(number, class, owed);
+                None
+            }
             Verdict::MayHaveRun(at) => {
                 let zone = owed.ran.as_ref().or(owed.out.as_ref()).map(|first| first.zone.clone());
                 let attempt = Attempt { at, zone: zone.unwrap_or_default() };
@@ -34,8 +37,10 @@
                 // A next process on this run of the machine takes the journal for all there is.
                 let booked = self.store.ran(number, attempt);
                 self.booked(booked);
+                self.reset_deadline(number, class, owed);
                 None
             }
+            Verdict::Returns => Some(End::Returned(None)),
             // The journal of another sender is set aside before it is read here.
             Verdict::Fails | Verdict::NotOurs => Some(End::Failed),
         }
@@ -46,7 +51,7 @@
     pub(super) fn stamp(&mut self, stamp: Option<Stamp>) {
         let Some(stamp) = stamp else { return };
         if !self.returning.believes_clock() {
-            self.store.over_from(self.now().0);
+            self.store.new_clock(self.now().0);
             if let Err(e) = self.store.begin_anew() {
                 self.log(&format!("{e}; ids of messages that are over may be forgotten early"));
             }
@@ -92,7 +97,7 @@
         for mut resumed in std::mem::take(&mut self.resting) {
             let number = resumed.message.id.0;
             let Some(deadline) = self.store.get(number).map(|owed| owed.deadline) else { continue };
-            resumed.message.budget = self.budget(resumed.message.class, deadline);
+            resumed.message.budget = Span(deadline.saturating_sub(now.0));
             if may_send || resumed.message.budget == Span(0) {
                 self.pending.push((now, Event::Resumed(resumed)));
             } else {
@@ -101,14 +106,17 @@
         }
     }
 
-    /// The time that is left to a message: where the clock is not believed no more than its class has in all.
-    pub(super) fn budget(&self, class: ClassId, deadline: u64) -> Span {
-        let most = if self.returning.believes_clock() {
-            u64::MAX
-        } else {
-            self.settings.classes[class.0].deadline.0
-        };
-        Span(time_left(deadline, self.now().0, most))
+    /// Puts a deadline of before on the clock of now, once and for all: a next process on this run of the machine believes its
+    /// clock.
+    fn reset_deadline(&mut self, number: u32, class: ClassId, owed: &mut Owed) {
+        if self.returning.believes_clock() || owed.end.is_some() {
+            return;
+        }
+        let now = self.now().0;
+        let most = self.settings.classes[class.0].deadline.0;
+        owed.deadline = now + self.returning.time_left(owed.deadline, self.latest, now, most);
+        let booked = self.store.deadline(number, owed.deadline);
+        self.booked(booked);
     }
 
     /// Heeds what others warn of. What this sender knows itself stands beside it, and its own list counts before it.
--- a/src/daemon/recovery/ask.rs
+++ b/src/daemon/recovery/ask.rs
@@ -41,9 +41,9 @@
 }
 
 impl Heard {
-    /// Their wall clock and that of this machine at one moment.
-    pub fn clocks(&self) -> (u64, u64) {
-        (self.word.wall, self.here)
+    /// Their wall clock and that of this machine at one moment; only of those that never stopped.
+    pub fn clocks(&self) -> Option<(u64, u64)> {
+        self.word.steady_for.map(|_| (self.word.wall, self.here))
     }
 
     /// What was said, and how long ago.
--- a/src/daemon/recovery/mod.rs
+++ b/src/daemon/recovery/mod.rs
@@ -8,7 +8,7 @@
 use super::store::{Damage, Store, StoreError};
 use ask::Asked;
 use micadrum_operator::{Durability, Recovery as Set};
-use micadrum_recovery::owed::{Left, Repeats, Verdict, judge, turned_away_for};
+use micadrum_recovery::owed::{Left, Repeats, Verdict, judge, time_left, turned_away_for};
 use micadrum_recovery::stages::{Input, Settings, Stage, Step};
 use micadrum_recovery::trust::{Clock, Faith, Found};
 use micadrum_recovery::words::{add_up, offsets};
@@ -144,6 +144,14 @@
         turned_away_for(repeats, inner.knows_ids, inner.wait_out, inner.origin.elapsed())
     }
 
+    /// The time that is left to a message of before; as [`time_left`].
+    pub fn time_left(&self, deadline: u64, latest: u64, wall: u64, most: u64) -> u64 {
+        match &*self.0.borrow() {
+            Some(inner) => time_left(&inner.trust, deadline, latest, wall, most),
+            None => deadline.saturating_sub(wall),
+        }
+    }
+
     /// Whether spans since before the start mean anything.
     pub fn believes_clock(&self) -> bool {
         self.0.borrow().as_ref().is_none_or(|inner| inner.trust.clock == Clock::Believed)
@@ -247,7 +255,8 @@
         }
         if trust.is_return() || trust.journal == Faith::Hint {
             let (words, counts) = ask::words(peers, members, ports, until).await;
-            trust.others_have(&offsets(&words.iter().map(|word| word.clocks()).collect::<Vec<_>>()));
+            let clocks: Vec<_> = words.iter().filter_map(ask::Heard::clocks).collect();
+            trust.others_have(&offsets(&clocks));
             caution = add_up(&words.iter().map(ask::Heard::word).collect::<Vec<_>>());
             asked = Some(counts);
         }
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -123,6 +123,8 @@
     NotBefore(u32, u64),
     /// It may have run, first in that attempt: the journal may be missing it.
     Ran(u32, Attempt),
+    /// It has time until then by the clock of now.
+    Deadline(u32, u64),
 }
 
 /// What the journal held when it was opened, besides the messages.
@@ -303,10 +305,12 @@
         self.stamp.is_none() && self.next == 0 && self.over.is_empty()
     }
 
-    /// Keeps all ids of messages that are over for as long as if they were over `now`, as the clock may have moved on by
-    /// hours.
-    pub fn over_from(&mut self, now: u64) {
+    /// The clock is another one from `now` on: ids of messages that are over are kept for as long as if they were over now,
+    /// and moments by the one before mean nothing any more.
+    pub fn new_clock(&mut self, now: u64) {
         self.over.all_from(now);
+        self.not_before.clear();
+        self.latest = now;
     }
 
     /// All that is owed, in the order in which it was taken on.
@@ -340,6 +344,11 @@
         self.append(Record::Ran(number, attempt))
     }
 
+    /// Records that a message has time until then, by the clock of now.
+    pub fn deadline(&mut self, number: u32, deadline: u64) -> Result<(), StoreError> {
+        self.append(Record::Deadline(number, deadline))
+    }
+
     /// Records how the attempt that is out ended.
     pub fn outcome(&mut self, number: u32, may_have_run: bool) -> Result<(), StoreError> {
         self.append(Record::Outcome { number, may_have_run })
@@ -450,6 +459,11 @@
                     (owed.ran, owed.out) = (Some(attempt), None);
                 }
             }
+            Record::Deadline(number, deadline) => {
+                if let Some(owed) = self.owed.get_mut(&number) {
+                    owed.deadline = deadline;
+                }
+            }
             Record::Ended(number, end) => {
                 if let Some(owed) = self.owed.get_mut(&number) {
                     owed.end = Some(end);
@@ -464,7 +478,8 @@
                 }
             }
             Record::Stamped(stamp) => {
-                self.latest = self.latest.max(stamp.wall);
+                // Another process may have had another clock.
+                self.latest = stamp.wall;
                 self.stamp = Some(stamp);
             }
             Record::NotBefore(first, at) => {
@@ -528,11 +543,13 @@
         let mut slice = Vec::new();
         let stamp = self.stamp.iter().map(|stamp| Record::Stamped(stamp.clone()));
         let moments = self.not_before.iter().map(|(first, at)| Record::NotBefore(*first, *at));
+        // Nothing else in a new file tells of the latest moment.
+        let latest = self.stamp.iter().map(|_| Record::NotBefore(self.next, self.latest));
         let owed = (self.owed.iter()).map(|(number, owed)| Record::Taken(*number, Box::new(owed.clone())));
         let ids: Vec<_> = self.over.iter().map(|(id, until)| (id.clone(), until)).collect();
         // In parts, as no record may be longer than any is read.
         let ids = ids.chunks(OVER_IN_RECORD).map(|part| Record::OverIds(part.to_vec()));
-        for record in stamp.chain(moments).chain(owed).chain(ids) {
+        for record in stamp.chain(moments).chain(latest).chain(owed).chain(ids) {
             slice = frame(&record, slice)?;
             if slice.len() > SLICE {
                 length += slice.len() as u64;
@@ -592,6 +609,37 @@
         store.owed().map(|(_, owed)| owed.message.id.as_str()).collect()
     }
 
+    /// Guards against a stamp, a moment or a deadline that is lost when the file is written anew, and against numbers that begin
+    /// anew under old moments.
+    #[test]
+    fn stamps_and_moments_outlast_a_new_file() {
+        let folder = tempfile::tempdir().unwrap();
+        let stamp = |wall| Stamp { sender: "n1".to_owned(), boot: None, wall, outlasts_machine: true };
+        let (mut store, _) = open(folder.path());
+        assert!(store.is_empty() && store.stamped().is_none());
+        store.stamp(stamp(NOW)).unwrap();
+        assert!(!store.is_empty());
+        let first = store.take_on(message("a", 10)).unwrap();
+        store.mark_time(NOW + 5).unwrap();
+        let second = store.take_on(message("b", 10)).unwrap();
+        store.ran(second, Attempt { at: NOW + 6, zone: "z".to_owned() }).unwrap();
+        store.deadline(second, NOW + 77).unwrap();
+        store.begin_anew().unwrap();
+        drop(store);
+        let (mut store, _) = open(folder.path());
+        assert_eq!((store.stamped(), store.latest()), (Some(&stamp(NOW)), NOW + 5));
+        assert_eq!((store.not_before(first), store.not_before(second)), (None, Some(NOW + 5)));
+        let owed = store.get(second).unwrap();
+        assert_eq!((owed.deadline, owed.ran.as_ref().map(|ran| ran.at)), (NOW + 77, Some(NOW + 6)));
+        // The clock goes back: what is said by it counts from its stamp on.
+        store.new_clock(NOW - 9_000);
+        store.stamp(stamp(NOW - 9_000)).unwrap();
+        assert_eq!((store.not_before(second), store.latest()), (None, NOW - 9_000));
+        store.mark_time(NOW - 8_000).unwrap();
+        let third = store.take_on(message("c", 10)).unwrap();
+        assert_eq!((store.not_before(second), store.not_before(third)), (None, Some(NOW - 8_000)));
+    }
+
     /// Guards against forgetting, over a restart, which attempt may have run first.
     #[test]
     fn a_reopened_journal_tells_how_far_each_message_got() {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -6,6 +6,7 @@
 mod memory;
 mod operators;
 mod peers;
+mod recovery;
 mod restarts;
 mod watch;
 mod world;
