Peers: a free port is one that is free for datagrams and for links

Its datagram port had been chosen as a free one (listen on port 0) while another process listened on the same number for TCP; the link went there. Not the load, and not the change of what is asked over links, which the other processes share.

Now both are bound at one port, up to 32 tried.

--- a/src/daemon/peers/links.rs
+++ b/src/daemon/peers/links.rs
@@ -1,7 +1,7 @@
 //! Links to other members on real streams, and what goes over them today: each member's view, for operators who want to
 //! see who sees whom.
 use super::{Ask, Views};
-use crate::daemon::ports::{LocalFuture, Log, Network, Stream};
+use crate::daemon::ports::{Listener, LocalFuture, Log, Network, Stream};
 use micadrum_peers::{Link, LinkError, LinkEvent, MOST_PAYLOAD, MemberId, Roster, Secret, Status, View};
 use micadrum_recovery::Word;
 use rand_chacha::ChaCha8Rng;
@@ -118,10 +118,18 @@
         })
     }
 
-    /// Takes links from others for as long as it is polled.
-    pub async fn serve(self: Rc<Self>, at: SocketAddr, log: Rc<dyn Log>) {
+    /// Takes links from others for as long as it is polled, at that address or with what listens already.
+    pub async fn serve(
+        self: Rc<Self>,
+        at: SocketAddr,
+        mut listener: Option<Box<dyn Listener>>,
+        log: Rc<dyn Log>,
+    ) {
         let mut told = false;
         let listener = loop {
+            if let Some(listener) = listener.take() {
+                break listener;
+            }
             match self.network.listen(at).await {
                 Ok(listener) => break listener,
                 // The process before may still hold it.
--- a/src/daemon/peers/mod.rs
+++ b/src/daemon/peers/mod.rs
@@ -5,7 +5,7 @@
 mod tell;
 
 use super::config::Config;
-use super::ports::{Datagrams, Ports};
+use super::ports::{Datagrams, Listener, Ports};
 use book::Shelf;
 pub use links::{Asker, Gathering, Speaker};
 use links::{Linking, Seen};
@@ -29,6 +29,8 @@
 
 /// The address may be held by the process before: it is asked for again after this.
 const BIND_AGAIN: Duration = Duration::from_millis(100);
+/// Ports that are looked at for one that is free for datagrams and for links.
+const MOST_TRIES: usize = 32;
 /// After a receive that failed.
 const RECEIVE_AGAIN: Duration = Duration::from_millis(20);
 
@@ -96,6 +98,9 @@
     }
 }
 
+/// A socket for datagrams, and for links where that has to be at the same free port.
+type Bound = (Box<dyn Datagrams>, Option<Box<dyn Listener>>);
+
 enum Ask {
     Follow(Members),
     All(oneshot::Sender<BTreeMap<String, Seen>>),
@@ -192,7 +197,7 @@
 
 impl Task {
     async fn run(mut self, at: SocketAddr, mut members: Members, secret: Secret) {
-        let Some(socket) = self.bind(at, &mut members).await else { return };
+        let Some((socket, links)) = self.bind(at, &mut members).await else { return };
         // Only now: a process before this one may have written in it until it gave the address up.
         let own = members.roster.own();
         let book = self.shelf.read(own).unwrap_or_else(|wrong| {
@@ -208,7 +213,7 @@
         // Links are taken where datagrams are; they end with this task.
         let mut serving = JoinSet::new();
         if let Ok(at) = socket.local_addr() {
-            serving.spawn_local(linking.clone().serve(at, self.ports.log.clone()));
+            serving.spawn_local(linking.clone().serve(at, links, self.ports.log.clone()));
         }
         let core = Peers::new(settings, secret, roster, book, chance, self.views.origin.elapsed());
         *self.views.core.borrow_mut() = Some(core);
@@ -247,14 +252,24 @@
     }
 
     /// Binds the address, as soon as the process before has given it up; none where this one ends first.
-    async fn bind(&mut self, at: SocketAddr, members: &mut Members) -> Option<Box<dyn Datagrams>> {
+    async fn bind(&mut self, at: SocketAddr, members: &mut Members) -> Option<Bound> {
         let mut told = false;
+        let mut tries = 0;
         loop {
             match self.ports.network.bind(at).await {
                 Ok(socket) => {
-                    let at = socket.local_addr().unwrap_or(at);
-                    self.ports.log.line(&format!("peers: speaking at {at}"));
-                    return Some(socket);
+                    let free = socket.local_addr().unwrap_or(at);
+                    let links = match at.port() {
+                        // Any port will do that is free for datagrams and for links.
+                        0 => self.ports.network.listen(free).await.ok(),
+                        _ => None,
+                    };
+                    tries += 1;
+                    if at.port() == 0 && links.is_none() && tries < MOST_TRIES {
+                        continue;
+                    }
+                    self.ports.log.line(&format!("peers: speaking at {free}"));
+                    return Some((socket, links));
                 }
                 Err(e) if !std::mem::replace(&mut told, true) => {
                     self.ports.log.line(&format!("peers: {at}: {e}; tried again until it can be had"));
