Recovery: newcomers at 100 a second; syncs that fail, hang or lie as faults of the kit

Ruled out: the clock (vouched for: the same), the list's wait (0 s: the same).

Kit: sync-fails (what was to be synced is lost to later syncs too), sync-hangs, sync-lies; seconds until nine tenths of service after power.

--- a/crates/micadrum-operator/src/recovery.rs
+++ b/crates/micadrum-operator/src/recovery.rs
@@ -63,7 +63,7 @@
             ask_for: up_to(self.ask_for, Span::seconds(1), MOST_STAGE, "ask_for")?,
             list_for: up_to(self.list_for, Span::seconds(2), MOST_STAGE, "list_for")?,
             finish_for: up_to(self.finish_for, Span::millis(500), MOST_STAGE, "finish_for")?,
-            newcomers: self.newcomers.map_or(20.0, |rate| rate.0),
+            newcomers: self.newcomers.map_or(100.0, |rate| rate.0),
             full_after: up_to(self.full_after, Span::seconds(5), MOST_FULL_AFTER, "full_after")?,
             wait_out: up_to(self.wait_out, Span(0), MOST_WAIT_OUT, "wait_out")?,
             clock_vouched: matches!(self.clock, Some(Clock::Vouched)),
--- a/crates/micadrum-rehearsal/src/live/mod.rs
+++ b/crates/micadrum-rehearsal/src/live/mod.rs
@@ -8,7 +8,7 @@
 use crate::report::Report;
 use crate::scenario::{FaultKind, Where};
 use crate::wire::{Door, Host, Line, Wire};
-use crate::world::senders::{Ended, Fleet, Lines, Links, OperatorFile};
+use crate::world::senders::{Ended, Fleet, Lines, Links, OperatorFile, Syncs};
 use crate::world::{World, play};
 use micadrum::daemon::ports::{Listener, LocalFuture, Network, Stream};
 use micadrum::daemon::system::Tcp;
@@ -343,6 +343,10 @@
         false
     }
 
+    fn set_syncs(&self, _: u32, _: Syncs) -> bool {
+        false
+    }
+
     fn links(&self) -> Option<&dyn Links> {
         None
     }
--- a/crates/micadrum-rehearsal/src/recorder.rs
+++ b/crates/micadrum-rehearsal/src/recorder.rs
@@ -60,6 +60,9 @@
     pub ends: u64,
 }
 
+/// Seconds that are told apart.
+const MOST_SECONDS: usize = 3600;
+
 /// Takes in observations; one for each run.
 pub struct Recorder {
     judge: Judge,
@@ -75,6 +78,8 @@
     pub tenants: Vec<Service>,
     /// By span of the day, by when an operation was first handed in.
     pub windows: Vec<Service>,
+    /// The same by second, of the first hour.
+    pub seconds: Vec<Service>,
     /// From first hand-in to delivery, in microseconds.
     pub latency: BTreeMap<Class, Histogram<u32>>,
     /// Counts.
@@ -97,6 +102,7 @@
             classes: BTreeMap::new(),
             tenants: vec![Service::default(); TENANTS.len()],
             windows: Vec::new(),
+            seconds: Vec::new(),
             latency: BTreeMap::new(),
             counts: Counts::default(),
             not_played: Vec::new(),
@@ -126,9 +132,23 @@
         self.classes.entry(arrival.class).or_default().asked += 1;
         self.tenants[arrival.tenant].asked += 1;
         self.windows[window].asked += 1;
+        let second = ((at - begun) / 1_000_000) as usize;
+        if second < MOST_SECONDS {
+            self.seconds.resize(self.seconds.len().max(second + 1), Service::default());
+            self.seconds[second].asked += 1;
+        }
         self.operations.insert(arrival.number, operation);
     }
 
+    /// How long after a moment of the day messages that were first handed in fared well again, for two seconds on end: each
+    /// got nine tenths of its worth on the mean. In seconds; none where they did not.
+    pub fn well_after(&self, at: At) -> Option<u64> {
+        let from = at.div_ceil(1_000_000);
+        let well = |second: &Service| second.asked > 0 && second.share() >= 0.9;
+        let rest = self.seconds.get(from as usize..)?;
+        rest.windows(2).position(|pair| pair.iter().all(well)).map(|place| place as u64)
+    }
+
     /// Operations so far.
     pub fn operations(&self) -> usize {
         self.offered
@@ -200,6 +220,10 @@
         self.classes.entry(operation.class).or_default().earned += worth;
         self.tenants[operation.tenant].earned += worth;
         self.windows[window].earned += worth;
+        let second = ((operation.first - self.begun.unwrap_or(0)) / 1_000_000) as usize;
+        if let Some(second) = self.seconds.get_mut(second) {
+            second.earned += worth;
+        }
         let latency = self.latency.entry(operation.class).or_insert_with(|| {
             // The bounds are constants that it accepts.
             Histogram::new_with_bounds(1, MOST_LATENCY, 3).expect("valid bounds")
--- a/crates/micadrum-rehearsal/src/report.rs
+++ b/crates/micadrum-rehearsal/src/report.rs
@@ -4,6 +4,7 @@
 use crate::observation::At;
 use crate::plan::{Class, Plan, TENANTS};
 use crate::recorder::{Recorder, WINDOW};
+use crate::scenario::FaultKind;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -54,6 +55,8 @@
     pub by_class: BTreeMap<&'static str, f64>,
     /// By department.
     pub by_department: BTreeMap<&'static str, f64>,
+    /// Each moment at which power came back, in microseconds, and how many seconds later messages fared well again.
+    pub well_after: Vec<(u64, Option<u64>)>,
     /// By span of 10 s.
     pub by_10_s: Vec<f64>,
     /// Latency percentiles by class, in microseconds: 50, 90, 99, 99.9 and 100.
@@ -158,6 +161,10 @@
                 by_department: (TENANTS.iter().zip(&recorder.tenants))
                     .map(|((name, _), s)| (*name, rounded(s.share())))
                     .collect(),
+                well_after: (plan.faults.iter())
+                    .filter(|fault| fault.kind == FaultKind::PowerLoss)
+                    .map(|fault| (fault.until.0, recorder.well_after(fault.until.0)))
+                    .collect(),
                 by_10_s: recorder.windows.iter().map(|s| rounded(s.share())).collect(),
                 latency_us: recorder.latency.iter().map(latency).collect(),
                 counts,
@@ -209,6 +216,10 @@
         if let Some((place, share)) = worst {
             line(format!("  worst 10 s: from {} s on, {share:.4}", place as u64 * WINDOW / 1_000_000));
         }
+        for (at, took) in &played.well_after {
+            let took = took.map_or("not again".to_owned(), |took| format!("{took} s later"));
+            line(format!("  power back at {} s: nine tenths of service {took}", at / 1_000_000));
+        }
         for (class, l) in &played.latency_us {
             let [p50, p90, p99, p999, most] = l.map(|us| us as f64 / 1e3);
             line(format!(
--- a/crates/micadrum-rehearsal/src/scenario.rs
+++ b/crates/micadrum-rehearsal/src/scenario.rs
@@ -156,6 +156,12 @@
     KillAtWrite,
     /// The senders' disk takes nothing more.
     DiskFull,
+    /// The senders' disk fails syncs; what they were of is lost to later ones too.
+    SyncFails,
+    /// Syncs of the senders' disk end only with the fault.
+    SyncHangs,
+    /// The senders' disk says of syncs that they are done, and does none.
+    SyncLies,
     /// Links between buildings take `delay` longer.
     LinkDelay,
     /// Links between buildings hold what is sent until the end, and deliver it then.
@@ -357,7 +363,9 @@
             Self::MoveDiscovery => (&[], SENDERS),
             Self::ListLag => (&["for", "delay"], &[]),
             Self::ListSilent => (&["for"], SENDERS),
-            Self::Deaf | Self::DiskFull => (&["for"], SENDERS),
+            Self::Deaf | Self::DiskFull | Self::SyncFails | Self::SyncHangs | Self::SyncLies => {
+                (&["for"], SENDERS)
+            }
             Self::Restart => {
                 (&["how"], &["senders", "share", "building", "batch", "every", "down", "folder"])
             }
--- a/crates/micadrum-rehearsal/src/sim/disk.rs
+++ b/crates/micadrum-rehearsal/src/sim/disk.rs
@@ -2,6 +2,7 @@
 use super::net::Process;
 use crate::plan::Dice;
 use crate::scenario::Where;
+use crate::world::senders::Syncs;
 use micadrum::daemon::ports::{AppendFile, LocalFuture, Storage};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,6 +23,24 @@
 struct Content {
     bytes: Vec<u8>,
     synced: usize,
+    /// A sync of it has failed: what was not synced then never is, whatever later ones say.
+    holed: bool,
+}
+
+impl Content {
+    /// A sync of what it held when it was that long.
+    fn sync(&mut self, length: usize, syncs: Syncs) -> io::Result<()> {
+        match syncs {
+            Syncs::Fail => {
+                self.holed = true;
+                return Err(io::ErrorKind::Other.into());
+            }
+            Syncs::Lie => {}
+            Syncs::Work | Syncs::Hang if self.holed => {}
+            Syncs::Work | Syncs::Hang => self.synced = self.synced.max(length.min(self.bytes.len())),
+        }
+        Ok(())
+    }
 }
 
 /// The folder of one sender, over all of its processes.
@@ -34,6 +53,8 @@
     full_at: Option<usize>,
     /// Ends the process at the write that makes this 0.
     pub kill_in: Option<(u64, Where)>,
+    /// How it syncs.
+    pub syncs: Syncs,
     /// Bytes that it held at the most.
     pub most: usize,
     copy: BTreeMap<String, Vec<u8>>,
@@ -57,7 +78,7 @@
     pub fn copy(&mut self, back: bool) {
         if back {
             let file = |(name, bytes): (&String, &Vec<u8>)| {
-                let content = Content { bytes: bytes.clone(), synced: bytes.len() };
+                let content = Content { bytes: bytes.clone(), synced: bytes.len(), holed: false };
                 (name.clone(), Rc::new(RefCell::new(content)))
             };
             self.files = self.copy.iter().map(file).collect();
@@ -90,6 +111,7 @@
             let length = content.synced + kept;
             content.bytes.truncate(length);
             content.synced = length;
+            content.holed = false;
         }
         self.synced_names = left.clone();
         self.files = left;
@@ -156,7 +178,11 @@
     fn sync_names(&self) -> io::Result<()> {
         self.alive()?;
         let mut disk = self.disk.borrow_mut();
-        disk.synced_names = disk.files.clone();
+        match disk.syncs {
+            Syncs::Fail => return Err(io::ErrorKind::Other.into()),
+            Syncs::Lie => {}
+            Syncs::Work | Syncs::Hang => disk.synced_names = disk.files.clone(),
+        }
         Ok(())
     }
 
@@ -203,23 +229,27 @@
 
     fn sync(&self) -> LocalFuture<'static, io::Result<()>> {
         let (file, process) = (self.file.clone(), self.folder.process.clone());
+        let disk = self.folder.disk.clone();
         let length = file.borrow().bytes.len();
         Box::pin(async move {
             sleep(SYNC).await;
+            while disk.borrow().syncs == Syncs::Hang {
+                sleep(SYNC).await;
+            }
             if process.is_dead() {
                 return Err(io::ErrorKind::BrokenPipe.into());
             }
-            let mut content = file.borrow_mut();
-            content.synced = content.synced.max(length.min(content.bytes.len()));
-            Ok(())
+            let syncs = disk.borrow().syncs;
+            file.borrow_mut().sync(length, syncs)
         })
     }
 
     fn sync_now(&mut self) -> io::Result<()> {
         self.folder.alive()?;
+        let syncs = self.folder.disk.borrow().syncs;
         let mut content = self.file.borrow_mut();
-        content.synced = content.bytes.len();
-        Ok(())
+        let length = content.bytes.len();
+        content.sync(length, syncs)
     }
 
     fn truncate(&mut self, length: u64) -> io::Result<()> {
--- a/crates/micadrum-rehearsal/src/sim/mod.rs
+++ b/crates/micadrum-rehearsal/src/sim/mod.rs
@@ -8,7 +8,7 @@
 use crate::report::Report;
 use crate::scenario::{FaultKind, Where};
 use crate::wire::Host;
-use crate::world::senders::{Ended, Fleet, Lines, Links, OperatorFile};
+use crate::world::senders::{Ended, Fleet, Lines, Links, OperatorFile, Syncs};
 use crate::world::{World, play};
 use datagrams::Mail;
 use disk::{Disk, ProcessFolder};
@@ -236,6 +236,11 @@
         true
     }
 
+    fn set_syncs(&self, sender: u32, syncs: Syncs) -> bool {
+        self.nodes[sender as usize].disk.borrow_mut().syncs = syncs;
+        true
+    }
+
     fn links(&self) -> Option<&dyn Links> {
         Some(self)
     }
--- a/crates/micadrum-rehearsal/src/world/faults.rs
+++ b/crates/micadrum-rehearsal/src/world/faults.rs
@@ -1,6 +1,6 @@
 //! Lets the plan's faults begin and end.
 use super::model::Condition;
-use super::senders::PowerBack;
+use super::senders::{PowerBack, Syncs};
 use super::{World, endpoints, platform};
 use crate::history::What;
 use crate::observation::{At, Seen};
@@ -119,6 +119,20 @@
                 world.fleet.fill_disk(*sender, false);
             }
         }
+        FaultKind::SyncFails | FaultKind::SyncHangs | FaultKind::SyncLies => {
+            let syncs = |syncs| fault.senders.iter().all(|sender| world.fleet.set_syncs(*sender, syncs));
+            let how = match fault.kind {
+                FaultKind::SyncFails => Syncs::Fail,
+                FaultKind::SyncHangs => Syncs::Hang,
+                _ => Syncs::Lie,
+            };
+            if !syncs(how) {
+                world.recorder().not_played(fault);
+                return;
+            }
+            world.until(until).await;
+            syncs(Syncs::Work);
+        }
         FaultKind::Deaf | FaultKind::ListSilent => {
             for sender in &fault.senders {
                 let agent = &world.agents[*sender as usize];
--- a/crates/micadrum-rehearsal/src/world/senders.rs
+++ b/crates/micadrum-rehearsal/src/world/senders.rs
@@ -35,6 +35,20 @@
 /// Takes the lines of a sender's log.
 pub type Lines = Rc<dyn Fn(&str)>;
 
+/// How a disk syncs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Syncs {
+    /// As it should.
+    #[default]
+    Work,
+    /// It fails; what was to be synced is lost to later ones too.
+    Fail,
+    /// It does not end.
+    Hang,
+    /// It says that it is done, and does nothing.
+    Lie,
+}
+
 /// The processes of the senders: simulated, or real.
 pub trait Fleet {
     /// Starts one on this configuration; where clients reach it. Its log goes to `lines`.
@@ -91,6 +105,9 @@
     /// Lets its disk take nothing more, or ends that; whether that can be done.
     fn fill_disk(&self, sender: u32, full: bool) -> bool;
 
+    /// How its disk syncs from now on; whether that can be set.
+    fn set_syncs(&self, sender: u32, syncs: Syncs) -> bool;
+
     /// The links between hosts, where they can be struck.
     fn links(&self) -> Option<&dyn Links>;
 
--- a/crates/micadrum-rehearsal/tests/recovery.rs
+++ b/crates/micadrum-rehearsal/tests/recovery.rs
@@ -186,6 +186,42 @@
     assert!(forgot >= 3 && away >= 4, "{forgot} {away}\n{}", report.history.text());
 }
 
+/// Guards against a sync that fails, hangs or is refused being taken for done: power is lost right after, or in the midst of
+/// it. And against a proof that proves nothing: a disk that lies is convicted.
+#[test]
+fn syncs_that_fail_or_hang_cost_nothing_that_was_acknowledged() {
+    let days = |kind: &str| {
+        let sync = format!("[[fault]]\nkind = \"{kind}\"\nat = \"4 s\"\nfor = \"5 s\"\nshare = \"60%\"\n");
+        let faults = [sync, loss(8, "back = \"1 s\""), loss(12, "share = \"60%\"")].concat();
+        let plays = (1..=6).map(|seed| common::play(Plan::new(day(20, MACHINE, &faults), seed)));
+        plays.map(|report| (report.verdict.kept, report.text())).collect::<Vec<_>>()
+    };
+    for kind in ["sync-fails", "sync-hangs"] {
+        for (kept, text) in days(kind) {
+            assert!(kept, "{kind}\n{text}");
+        }
+    }
+    assert!(days("sync-lies").iter().any(|(kept, _)| !kept), "a disk that lies loses what was acknowledged");
+}
+
+/// Guards against a return that waits for discovery, or that a full disk or a platform that hears nothing keeps from ending
+/// what is owed.
+#[test]
+fn a_return_without_discovery_or_room_is_one_all_the_same() {
+    let silent = "[[fault]]\nkind = \"list-silent\"\nat = \"6 s\"\nfor = \"20 s\"\n";
+    let full = "[[fault]]\nkind = \"disk-full\"\nat = \"7500 ms\"\nfor = \"3 s\"\nshare = \"60%\"\n";
+    for (what, fault) in [("silent", silent), ("full", full)] {
+        let faults = [fault.to_owned(), loss(6, "back = \"1 s\"")].concat();
+        for seed in 1..=4 {
+            let report = common::play(Plan::new(day(27, MACHINE, &faults), seed));
+            assert!(report.verdict.kept, "{what}, seed {seed}\n{}", report.text());
+            in_order(&report, 5);
+            let late = returned(&report.history).iter().all(|of| of.steps[1].1.why == Why::Late);
+            assert!(what != "silent" || late, "{}", report.history.text());
+        }
+    }
+}
+
 /// Guards against a sender that sends again what may have run, as its journal was not written to outlast the machine; and
 /// against a proof that proves nothing: the same days without this part are convicted of it.
 #[test]
