Peers: members whose list is another one are told of; a handover with peers is tested

Need: where the operators' files of a fleet differ, views differ for good and nobody was told. A question now carries a mark of the names, buildings and keys in its sender's list (not of addresses, which may differ by reader); version 2 on the wire.

Tested: a member that was cut off while a list changed is told of by the four others, once each, and tells of all four; with the same list again nobody is. A next process takes address and life 2 as soon as the one before has given its place.

--- a/crates/micadrum-peers/src/member.rs
+++ b/crates/micadrum-peers/src/member.rs
@@ -41,11 +41,25 @@
     Alike(String, String),
 }
 
+fn mark(members: &BTreeMap<MemberId, Member>) -> u64 {
+    let mut hash = blake3::Hasher::new_derive_key("micadrum peers 2: list of members");
+    for member in members.values() {
+        for part in [member.name.as_bytes(), member.building.as_bytes(), &member.key] {
+            hash.update(&(part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+    }
+    let mut short = [0; 8];
+    short.copy_from_slice(&hash.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(short)
+}
+
 /// All members; the order in which they were named means nothing.
 #[derive(Clone, Debug)]
 pub struct Roster {
     own: MemberId,
     members: BTreeMap<MemberId, Member>,
+    mark: u64,
 }
 
 impl Roster {
@@ -63,12 +77,20 @@
         }
         let id = MemberId::of(own);
         if members.contains_key(&id) {
-            Ok(Self { own: id, members })
+            let mark = mark(&members);
+            Ok(Self { own: id, members, mark })
         } else {
             Err(RosterError::NotIn(own.to_owned()))
         }
     }
 
+    /// The same for all who read the same names, buildings and keys. Addresses may differ: who stands behind a translator is
+    /// reached at another one.
+    #[must_use]
+    pub fn mark(&self) -> u64 {
+        self.mark
+    }
+
     /// Whose process this is.
     #[must_use]
     pub fn own(&self) -> MemberId {
--- a/crates/micadrum-peers/src/peer.rs
+++ b/crates/micadrum-peers/src/peer.rs
@@ -77,6 +77,8 @@
     pub status: Status,
     pub since: Duration,
     pub forgot: bool,
+    /// Its list of members is another than ours.
+    pub other_list: bool,
     /// The life whose datagrams the window tells apart.
     pub speaks: Option<Life>,
     pub window: Window,
@@ -107,6 +109,7 @@
             status: Status::Unknown,
             since: now,
             forgot: false,
+            other_list: false,
             speaks: None,
             window: Window::default(),
             flood: Bucket::new(FLOOD, now),
@@ -196,6 +199,7 @@
             round_trip: self.trip.map(|trip| trip.mean),
             life,
             forgot: self.forgot,
+            other_list: self.other_list,
         }
     }
 }
--- a/crates/micadrum-peers/src/peers/asking.rs
+++ b/crates/micadrum-peers/src/peers/asking.rs
@@ -192,7 +192,7 @@
                 return;
             }
             let nonce = self.next_nonce();
-            let ping = Body::Ping { nonce, stamp: self.stamp, rumours };
+            let ping = Body::Ping { nonce, stamp: self.stamp, list: self.roster.mark(), rumours };
             if self.send(id, &ping, rank, now)
                 && let Some(peer) = self.peers.get_mut(&id)
             {
--- a/crates/micadrum-peers/src/peers/hearing.rs
+++ b/crates/micadrum-peers/src/peers/hearing.rs
@@ -72,8 +72,9 @@
             self.counts.stale += 1;
         }
         match body {
-            Body::Ping { nonce, rumours, .. } => {
+            Body::Ping { nonce, rumours, list, .. } => {
                 if fresh {
+                    self.list_of(from, list);
                     self.hear(&rumours, now);
                 }
                 self.answer(from, life.run, nonce, via, fresh, now);
@@ -124,6 +125,15 @@
         self.make_urgent(from);
     }
 
+    /// A member's list is this one's, or another.
+    fn list_of(&mut self, from: MemberId, list: u64) {
+        let other = list != self.roster.mark();
+        let Some(peer) = self.peers.get_mut(&from).filter(|peer| peer.other_list != other) else { return };
+        peer.other_list = other;
+        let name = peer.member.name.clone();
+        self.event(Event::OtherList { name, other });
+    }
+
     pub(super) fn sign_of(&mut self, id: MemberId, now: Duration, reach: Reach) {
         let Some(peer) = self.peers.get_mut(&id) else { return };
         if peer.left == peer.speaks && peer.left.is_some() {
--- a/crates/micadrum-peers/src/peers/mod.rs
+++ b/crates/micadrum-peers/src/peers/mod.rs
@@ -103,6 +103,13 @@
         /// It has forgotten what it promised under earlier ones.
         forgot: bool,
     },
+    /// A member's list of members is another than this sender's, or is no longer.
+    OtherList {
+        /// Who.
+        name: String,
+        /// Whether it is another.
+        other: bool,
+    },
     /// Others know a higher life of this sender: its folder was lost, or put back from an older copy. It has taken a
     /// higher one.
     Forgotten {
--- a/crates/micadrum-peers/src/peers/saying.rs
+++ b/crates/micadrum-peers/src/peers/saying.rs
@@ -21,7 +21,8 @@
     pub(super) fn ping(&mut self, id: MemberId, rank: Rank, now: Duration) -> bool {
         let nonce = self.next_nonce();
         let rumours = self.rumours.next(FEW);
-        let sent = self.send(id, &Body::Ping { nonce, stamp: self.stamp, rumours }, rank, now);
+        let ping = Body::Ping { nonce, stamp: self.stamp, list: self.roster.mark(), rumours };
+        let sent = self.send(id, &ping, rank, now);
         if sent && let Some(peer) = self.peers.get_mut(&id) {
             peer.asked(nonce, now, true);
         }
@@ -39,7 +40,8 @@
         }));
         for other in others {
             let nonce = self.next_nonce();
-            let ping = Body::Ping { nonce, stamp: self.stamp, rumours: Vec::new() };
+            let list = self.roster.mark();
+            let ping = Body::Ping { nonce, stamp: self.stamp, list, rumours: Vec::new() };
             let Some(sealed) = self.seal(id, self.run_of(id), &ping) else { return };
             let sent = self.send(other, &Body::Relay { to: id, sealed }, Rank::Usual, now);
             if sent && let Some(peer) = self.peers.get_mut(&id) {
--- a/crates/micadrum-peers/src/view.rs
+++ b/crates/micadrum-peers/src/view.rs
@@ -56,6 +56,8 @@
     pub life: Option<Life>,
     /// It said that it has forgotten earlier lives: its promises and copies no longer count.
     pub forgot: bool,
+    /// Its list of members is another than this sender's.
+    pub other_list: bool,
 }
 
 /// What came and went.
--- a/crates/micadrum-peers/src/wire.rs
+++ b/crates/micadrum-peers/src/wire.rs
@@ -2,7 +2,7 @@
 //!
 //! ```text
 //!  0  2  "mp"          who this is meant for
-//!  2  1  version       1
+//!  2  1  version       2
 //!  3  1  flags         bit 0: the sender has forgotten earlier lives
 //!  4  8  from          id of the member that says it
 //! 12  8  to            id of the member that it is said to
@@ -21,7 +21,7 @@
 
 /// No datagram is longer, in bytes: it passes every link unbroken.
 pub const MOST_DATAGRAM: usize = 1200;
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 const FORGOT: u8 = 1;
 const TAG: std::ops::Range<usize> = 52..68;
 
@@ -39,8 +39,8 @@
 /// What is said.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Body {
-    /// Are you there?
-    Ping { nonce: u32, stamp: Stamp, rumours: Vec<Rumour> },
+    /// Are you there? My list of members is this one.
+    Ping { nonce: u32, stamp: Stamp, list: u64, rumours: Vec<Rumour> },
     /// I am; this is the highest life that I know of you.
     Ack { nonce: u32, stamp: Stamp, known: Option<Heard>, rumours: Vec<Rumour> },
     /// Pass this on to a third, as it is.
@@ -72,7 +72,7 @@
 pub(crate) fn header(bytes: &[u8]) -> Result<Header, Unread> {
     if bytes.len() < TAG.end
         || bytes.len() > MOST_DATAGRAM
-        || &bytes[..3] != b"mp\x01"
+        || &bytes[..3] != b"mp\x02"
         || bytes[3] & !FORGOT != 0
     {
         return Err(Unread::Foreign);
--- a/crates/micadrum-peers/tests/fleet/views.rs
+++ b/crates/micadrum-peers/tests/fleet/views.rs
@@ -169,6 +169,11 @@
     world.link = Box::new(|_, _| CLEAN);
     world.run(ms(4000));
     assert!((1..5).all(|n| world.status(0, n) == Status::Live && world.status(n, 0) == Status::Live));
+    // Whose files differ is told to both.
+    let others = |world: &World, n: usize| world.view(n).peers.iter().filter(|peer| peer.other_list).count();
+    assert_eq!((0..5).map(|n| others(&world, n)).collect::<Vec<_>>(), [4, 1, 1, 1, 1]);
+    let told = |event: &(_, usize, Event)| matches!(&event.2, Event::OtherList { name, other: true } if name == "n0");
+    assert_eq!(world.events.iter().filter(|event| told(event)).count(), 4, "once each");
     world.members = all;
     assert_eq!(world.status(0, 5), Status::Dead);
     for n in 0..5 {
@@ -177,4 +182,6 @@
     }
     world.start(5);
     assert!(world.agree_within(ms(3000)).is_some(), "{:?}", world.wrong());
+    world.run(ms(1000));
+    assert!((0..6).all(|n| others(&world, n) == 0), "all read the same again");
 }
--- a/src/command/peers.rs
+++ b/src/command/peers.rs
@@ -123,7 +123,8 @@
         Some(Reach::Direct) => "straight",
     };
     let life = peer.life.map_or("-".to_owned(), |life| {
-        format!("{}{}", life.number, if peer.forgot { " (forgot)" } else { "" })
+        let forgot = if peer.forgot { " (forgot)" } else { "" };
+        format!("{}{forgot}{}", life.number, if peer.other_list { " (other list)" } else { "" })
     });
     let round_trip =
         peer.round_trip.map_or("-".to_owned(), |span| format!("{:.1} ms", span.as_secs_f64() * 1e3));
--- a/src/daemon/peers/tell.rs
+++ b/src/daemon/peers/tell.rs
@@ -48,6 +48,10 @@
             Event::Forgotten { life, known } => format!(
                 "others know life {known} of this sender: its folder was lost or put back; it goes on under life {life}"
             ),
+            Event::OtherList { name, other: true } => format!(
+                "{name} has another list of members: the operators' files of a fleet have to name the same ones"
+            ),
+            Event::OtherList { name, other: false } => format!("{name} has the same list of members again"),
             Event::Stands(Standing::Superseded) => {
                 "a later process speaks under this sender's name: this one says nothing any more".to_owned()
             }
--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -73,7 +73,7 @@
     let mut buffer = [0; 2048];
     let heard = tokio::time::timeout(PATIENCE, other.recv(&mut buffer)).await;
     let length = heard.expect("it speaks to the other member").unwrap();
-    assert_eq!(&buffer[..3], b"mp\x01");
+    assert_eq!(&buffer[..3], b"mp\x02");
     assert!(length <= 1200);
     assert!(
         files(node.folder()).contains(&"lives".to_owned()),
@@ -139,3 +139,35 @@
     let example = micadrum(&["check", &example, "--name", "n1"]);
     assert!(example.status.success(), "{}", said(&example));
 }
+
+/// Guards against two processes that speak under one name over a handover, or none: the next one takes the address and a life
+/// of its own as soon as the one before has given its place up.
+#[tokio::test]
+async fn the_next_process_speaks_under_a_life_of_its_own() {
+    let (platform, endpoint) = (Platform::start().await, Peer::start().await);
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    node.kill();
+    let other = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    // A port of its own, that both processes ask for.
+    let at = UdpSocket::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    std::fs::write(node.lasting("n1.secret"), hex(&[1; 32])).unwrap();
+    let file = operator(&hex(&Secret::new([1; 32]).public()), &other.local_addr().unwrap().to_string());
+    node.turn_on(&file.replace("127.0.0.1:0", &at.to_string()));
+    node.begin().await;
+    let life = |view: &serde_json::Value| view["life"]["number"].as_u64();
+    let view = node.operator("GET /status/peers", "").await.json();
+    assert_eq!(life(&view), Some(1));
+    let mut old = node.replace().await;
+    let now = loop {
+        let view = node.operator("GET /status/peers", "").await.json();
+        if life(&view).is_some() {
+            break view;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    };
+    assert_eq!((life(&now), now["forgot"].as_bool()), (Some(2), Some(false)), "{now}");
+    old.terminate();
+    assert!(old.ends_well().await);
+    node.terminate();
+    assert!(node.ends_well().await);
+}
