Rehearsal: links between simulated senders are struck by cut, slow and break

Need: faults of what senders say to each other reached their datagrams in simulated time and not their links, over which a sender that is back asks its peers.

Tested: a cut link stays open and silent and no new one opens, a slow one takes its delay, a broken one ends for both in the midst of what is said.

--- a/crates/micadrum-rehearsal/src/sim/mod.rs
+++ b/crates/micadrum-rehearsal/src/sim/mod.rs
@@ -302,9 +302,9 @@
         for (_, endpoint) in plan.endpoints() {
             hosts.insert(Host::Endpoint(endpoint.number), endpoint.building);
         }
-        let net = SimNet::new(hosts, Duration::from_micros(plan.scenario.crossing.0));
         let nodes = plan.senders.iter().map(|_| Node::default()).collect();
         let ground = Rc::new(RefCell::new(Ground::new(&plan)));
+        let net = SimNet::new(hosts, Duration::from_micros(plan.scenario.crossing.0), ground.clone());
         let mail = Mail::new(ground.clone());
         let fleet = SimFleet { net: net.clone(), mail, nodes, origin: Instant::now(), show_logs: show.logs };
         let world = World::new(plan.clone(), net, Rc::new(fleet), ground).await?;
--- a/crates/micadrum-rehearsal/src/sim/net.rs
+++ b/crates/micadrum-rehearsal/src/sim/net.rs
@@ -3,6 +3,7 @@
 //! All times are the paused tokio clock's; what happens at one moment happens in the order in which it was
 //! caused, so a run depends on nothing but its seed.
 use super::datagrams::Mail;
+use crate::ground::{Ground, Stretch};
 use crate::wire::{Door, Host, Line, Wire};
 use micadrum::daemon::ports::{Datagrams, Listener, LocalFuture, Network, Stream};
 use std::cell::{Cell, RefCell};
@@ -116,6 +117,8 @@
     pipes: [Rc<RefCell<Pipe>>; 2],
     /// Something was lost on the way: it says nothing more until it is reset.
     broken: Cell<bool>,
+    /// When a link between its two senders was last broken.
+    struck: Cell<Option<u64>>,
     /// When each side ended it, whether or not the other hears of that.
     ended: [Cell<Option<Instant>>; 2],
 }
@@ -133,6 +136,9 @@
     building: BTreeMap<Host, usize>,
     cut: RefCell<BTreeSet<Host>>,
     link: RefCell<LinkState>,
+    /// What passes between senders.
+    ground: Rc<RefCell<Ground>>,
+    begun: Instant,
     doors: RefCell<BTreeMap<SocketAddr, Rc<Waiting>>>,
     connections: RefCell<Vec<Weak<Connection>>>,
     next_port: Cell<u16>,
@@ -174,14 +180,17 @@
 }
 
 impl SimNet {
-    /// A network of these hosts, each in a building; `crossing` is one way between two of them.
-    pub fn new(hosts: BTreeMap<Host, usize>, crossing: Duration) -> Rc<Self> {
+    /// A network of these hosts, each in a building; `crossing` is one way between two of them, and links between senders
+    /// pass over that ground.
+    pub fn new(hosts: BTreeMap<Host, usize>, crossing: Duration, ground: Rc<RefCell<Ground>>) -> Rc<Self> {
         Rc::new_cyclic(|this| Self {
             this: this.clone(),
             crossing,
             building: hosts,
             cut: RefCell::default(),
             link: RefCell::default(),
+            ground,
+            begun: Instant::now(),
             doors: RefCell::default(),
             connections: RefCell::default(),
             next_port: Cell::new(20_000),
@@ -207,6 +216,13 @@
         a == b || !(cut.contains(&a) || cut.contains(&b) || self.crosses(a, b) && self.link.borrow().lost)
     }
 
+    /// What becomes of bytes on a link between two senders; none for all other connections.
+    fn stretch(&self, from: Host, to: Host, struck: &Cell<Option<u64>>) -> Option<Stretch> {
+        let (Host::Sender(from), Host::Sender(to)) = (from, to) else { return None };
+        let now = self.begun.elapsed().as_micros() as u64;
+        (from != to).then(|| self.ground.borrow().stretch(from, to, now, struck))
+    }
+
     /// Sets what is wrong between buildings. What was broken while all was lost is reset when that ends.
     pub fn set_link(&self, link: LinkState) {
         let was = std::mem::replace(&mut *self.link.borrow_mut(), link);
@@ -250,6 +266,7 @@
             ends: [from, to],
             pipes: pipes.clone(),
             broken: Cell::new(false),
+            struck: Cell::new(None),
             ended: Default::default(),
         });
         let mut connections = self.connections.borrow_mut();
@@ -276,7 +293,8 @@
             // A host that does not exist says nothing.
             return std::future::pending().await;
         };
-        if !self.passes(from, peer) || process.is_dead() {
+        let held = || self.stretch(from, peer, &Cell::new(Some(u64::MAX / 2))) == Some(Stretch::Held);
+        if !self.passes(from, peer) || process.is_dead() || held() {
             return std::future::pending().await;
         }
         pause(self.delay(from, peer)).await;
@@ -380,7 +398,8 @@
         }
         let Some(net) = self.net.upgrade() else { return };
         let (me, peer) = self.ends();
-        if !net.passes(me, peer) {
+        let stretch = net.stretch(me, peer, &self.connection.struck);
+        if !net.passes(me, peer) || stretch == Some(Stretch::Held) {
             self.connection.broken.set(true);
         }
         // An end that a sender's side sends is shown to the stand-in even so: it only has to write it down, and
@@ -390,7 +409,10 @@
             return;
         }
         let now = Instant::now();
-        let due = now + net.delay(me, peer);
+        let due = match stretch {
+            Some(Stretch::Comes(delay)) => now + delay,
+            _ => now + net.delay(me, peer),
+        };
         let mut outgoing = self.outgoing().borrow_mut();
         if outgoing.unread && matches!(item, Item::Data(_)) {
             // Nobody reads there any more: that comes back as a reset.
@@ -398,6 +420,13 @@
             self.incoming().borrow_mut().push(now, back, Item::Reset);
             return;
         }
+        if let (Some(Stretch::Breaks), Item::Data(data)) = (stretch, &item) {
+            // In the midst of what is said, for both.
+            outgoing.push(now, due, Item::Data(data[..data.len() / 2].to_vec()));
+            outgoing.push(now, due, Item::Reset);
+            self.incoming().borrow_mut().push(now, due, Item::Reset);
+            return;
+        }
         outgoing.push(now, due, item);
     }
 }
@@ -601,19 +630,24 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::ground::Ground;
+    use crate::plan::{Plan, PlannedFault};
+    use crate::scenario::Scenario;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::task::{LocalSet, spawn_local};
 
     const CROSSING: Duration = Duration::from_millis(110);
     const HERE: Host = Host::Sender(0);
+    const OTHER: Host = Host::Sender(1);
     const NEAR: Host = Host::Endpoint(0);
     const FAR: Host = Host::Endpoint(1);
 
     fn play<F: Future<Output = ()>>(test: impl FnOnce(Rc<SimNet>) -> F) {
         let runtime =
             tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap();
-        let net = SimNet::new(BTreeMap::from([(HERE, 0), (NEAR, 0), (FAR, 1)]), CROSSING);
+        let hosts = BTreeMap::from([(HERE, 0), (OTHER, 0), (NEAR, 0), (FAR, 1)]);
+        let within = runtime.enter();
+        let net = SimNet::new(hosts, CROSSING, Rc::new(RefCell::new(Ground::calm(2))));
+        drop(within);
         LocalSet::new().block_on(&runtime, test(net));
     }
 
@@ -631,6 +665,47 @@
         Ok(bytes)
     }
 
+    fn strike(kind: &str, rest: &str) -> PlannedFault {
+        let text = format!(
+            "title = \"t\"\nlength = \"60 s\"\nsenders = 2\ntraffic = \"20/s\"\n[operator.peers]\n[[fault]]\nkind = \"{kind}\"\n\
+             at = \"1 s\"\nfor = \"9 s\"\nsenders = [0]\n{rest}"
+        );
+        Plan::new(Scenario::parse("t", &text).unwrap(), 1).faults.remove(0)
+    }
+
+    /// Guards against links between senders that no fault of what they say to each other reaches.
+    #[test]
+    fn links_between_senders_are_struck() {
+        play(async |net| {
+            let (mut mine, mut theirs) = pair(&net, OTHER).await;
+            let cut = strike("cut", "");
+            net.ground.borrow_mut().strike(&cut);
+            mine.write_all(b"lost").await.unwrap();
+            let late = tokio::time::timeout(Duration::from_secs(9), read(&mut *theirs)).await;
+            assert!(late.is_err(), "open and silent");
+            let opens = net.connect(HERE, SocketAddr::new(address(OTHER), 5000));
+            assert!(tokio::time::timeout(Duration::from_secs(9), opens).await.is_err());
+            net.ground.borrow_mut().relieve(&cut);
+        });
+        play(async |net| {
+            let (mut mine, mut theirs) = pair(&net, OTHER).await;
+            let (slow, broken) = (strike("slow", "delay = \"300 ms\""), strike("break", "every = \"1 s\""));
+            net.ground.borrow_mut().strike(&slow);
+            let sent = Instant::now();
+            mine.write_all(b"slow").await.unwrap();
+            assert_eq!(read(&mut *theirs).await.unwrap(), b"slow");
+            assert_eq!(sent.elapsed(), Duration::from_millis(300));
+            net.ground.borrow_mut().relieve(&slow);
+            net.ground.borrow_mut().strike(&broken);
+            mine.write_all(b"12345678").await.unwrap();
+            assert_eq!(
+                read(&mut *theirs).await.err().map(|e| e.kind()),
+                Some(io::ErrorKind::ConnectionReset)
+            );
+            assert_eq!(read(&mut *mine).await.err().map(|e| e.kind()), Some(io::ErrorKind::ConnectionReset));
+        });
+    }
+
     /// Guards against a network without distance: each way takes its time, and a connection both.
     #[test]
     fn crossing_takes_its_time() {
--- a/crates/micadrum-rehearsal/tests/recovery.rs
+++ b/crates/micadrum-rehearsal/tests/recovery.rs
@@ -145,6 +145,28 @@
     }
 }
 
+/// Guards against a return that waits for peers whose links are cut or break, or that takes half a word for one.
+#[test]
+fn a_building_that_is_cut_off_as_it_returns_serves_alone() {
+    for (kind, rest) in [("cut", ""), ("break", "every = \"50 ms\"\n")] {
+        let link = format!(
+            "[[fault]]\nkind = \"{kind}\"\nat = \"6 s\"\nfor = \"6 s\"\nbuilding = \"building-a\"\n{rest}"
+        );
+        let faults = [link, loss(6, "building = \"building-a\"\nclock = \"3 h\"")].concat();
+        for seed in 1..=4 {
+            let report = common::play(Plan::new(day(22, MACHINE, &faults), seed));
+            assert!(report.verdict.kept, "{kind}, seed {seed}\n{}", report.text());
+            in_order(&report, 3);
+            for of in returned(&report.history) {
+                let asked = of.steps[0].1.took;
+                assert!(asked <= SECOND + SECOND / 10, "{kind}, seed {seed}: {asked}");
+                let told = of.trust.unwrap().offset.is_some();
+                assert!(kind != "cut" || !told, "{kind}, seed {seed}: nobody can have told the time");
+            }
+        }
+    }
+}
+
 /// Guards against one building's return that believes its clocks, or does not ask those that never stopped, who tell the time.
 #[test]
 fn a_building_is_told_the_time_by_the_other() {
