Recovery: what rests wakes by its deadline; decisions in the core; tests that could pass

Messages that rest while the list is waited for were walked through at every turn of the loop, and none woke it when its time was up: they now stand by deadline, which the loop waits for, and go on in the order in which they were taken on.

Whether peers are asked and whether service returns in stages was decided in the daemon: now Trust::asks and takes_stages, tested. An asking that took all its time was told as done. A machine without a boot id was told in no line. Removed: a second may_send, a copy of knows_ids, a window that nothing read, two copies of what finds the daemon in tests.

Tests that could pass without judging: the building's clocks (now each has heard the time, and 8 of 24 are seen off), returns of an empty fleet, folders lost or older that were skipped. Nothing is loosened.

--- a/crates/micadrum-recovery/src/owed.rs
+++ b/crates/micadrum-recovery/src/owed.rs
@@ -21,8 +21,8 @@
 pub enum Repeats {
     /// Nothing.
     Freely,
-    /// Nothing, for so many microseconds from the first.
-    Within(u64),
+    /// Nothing, for a while from the first: whether that is over the decision module knows.
+    Within,
     /// A second effect.
     Never,
 }
@@ -64,11 +64,11 @@
         (Faith::Binds | Faith::Hint, Repeats::Freely) if !trust.tells_time() => Verdict::Returns,
         (Faith::Binds, _) if !trust.tells_time() && left.begun.is_none() => Verdict::Returns,
         (Faith::Binds, _) if !trust.tells_time() => Verdict::Fails,
-        (Faith::Binds, Repeats::Within(_)) if !believed && left.begun.is_some() => Verdict::Fails,
+        (Faith::Binds, Repeats::Within) if !believed && left.begun.is_some() => Verdict::Fails,
         (Faith::Binds, _) => Verdict::AsWritten,
         (Faith::Hint, Repeats::Never) => Verdict::Fails,
         (Faith::Hint, Repeats::Freely) => Verdict::MayHaveRun(earliest().unwrap_or(0)),
-        (Faith::Hint, Repeats::Within(_)) => match left.not_before {
+        (Faith::Hint, Repeats::Within) => match left.not_before {
             // An attempt before the one that is known may be among what is missing.
             Some(_) if believed => Verdict::MayHaveRun(earliest().unwrap_or(0)),
             _ => Verdict::Fails,
@@ -121,7 +121,7 @@
             Verdict::Fails => 3,
             Verdict::NotOurs => 4,
         };
-        for repeats in [Repeats::Freely, Repeats::Within(30), Repeats::Never] {
+        for repeats in [Repeats::Freely, Repeats::Within, Repeats::Never] {
             for (begun, not_before) in [(None, None), (Some(7), None), (None, Some(5)), (Some(7), Some(5))] {
                 let left = Left { ended: false, begun, not_before };
                 for clock in clocks {
@@ -150,18 +150,18 @@
         use Faith::{Binds, Hint, Void};
         use Repeats::{Freely, Never, Within};
         use Verdict::{AsWritten, Fails, MayHaveRun, NotOurs};
-        assert_eq!(of(Binds, Believed, Within(30), Some(7), None), AsWritten);
-        assert_eq!(of(Binds, Unchecked, Within(30), Some(7), None), Fails);
-        assert_eq!(of(Binds, Unchecked, Within(30), None, Some(5)), AsWritten);
+        assert_eq!(of(Binds, Believed, Within, Some(7), None), AsWritten);
+        assert_eq!(of(Binds, Unchecked, Within, Some(7), None), Fails);
+        assert_eq!(of(Binds, Unchecked, Within, None, Some(5)), AsWritten);
         assert_eq!(
             of(Binds, Unchecked, Never, Some(7), None),
             AsWritten,
             "the module fails what may have run"
         );
         assert_eq!(of(Hint, Believed, Freely, None, None), MayHaveRun(0));
-        assert_eq!(of(Hint, Believed, Within(30), Some(7), Some(5)), MayHaveRun(5));
-        assert_eq!(of(Hint, Believed, Within(30), Some(7), None), Fails);
-        assert_eq!(of(Hint, Unchecked, Within(30), None, Some(5)), Fails);
+        assert_eq!(of(Hint, Believed, Within, Some(7), Some(5)), MayHaveRun(5));
+        assert_eq!(of(Hint, Believed, Within, Some(7), None), Fails);
+        assert_eq!(of(Hint, Unchecked, Within, None, Some(5)), Fails);
         assert_eq!(of(Hint, Believed, Never, None, Some(5)), Fails);
         assert_eq!(of(Void, Believed, Freely, None, None), NotOurs);
         let dark = |journal, repeats, begun| {
@@ -170,9 +170,9 @@
         };
         use Verdict::Returns;
         assert_eq!((dark(Binds, Freely, Some(7)), dark(Hint, Freely, Some(7))), (Returns, Returns));
-        assert_eq!((dark(Binds, Within(30), None), dark(Binds, Never, None)), (Returns, Returns));
-        assert_eq!((dark(Binds, Within(30), Some(7)), dark(Binds, Never, Some(7))), (Fails, Fails));
-        assert_eq!((dark(Hint, Within(30), None), dark(Hint, Never, None)), (Fails, Fails));
+        assert_eq!((dark(Binds, Within, None), dark(Binds, Never, None)), (Returns, Returns));
+        assert_eq!((dark(Binds, Within, Some(7)), dark(Binds, Never, Some(7))), (Fails, Fails));
+        assert_eq!((dark(Hint, Within, None), dark(Hint, Never, None)), (Fails, Fails));
         let over = Left { ended: true, begun: None, not_before: None };
         assert_eq!(judge(&trust(Hint, Unchecked), Never, over), AsWritten);
     }
@@ -182,7 +182,7 @@
     #[test]
     fn what_may_come_a_second_time_is_waited_out() {
         let s = Duration::from_secs;
-        for repeats in [Repeats::Within(30), Repeats::Never] {
+        for repeats in [Repeats::Within, Repeats::Never] {
             assert_eq!(turned_away_for(repeats, false, s(12), s(5)), Some(s(7)));
             assert_eq!(turned_away_for(repeats, false, s(12), s(12)), None);
             assert_eq!(turned_away_for(repeats, true, s(12), s(5)), None);
--- a/crates/micadrum-recovery/src/stages.rs
+++ b/crates/micadrum-recovery/src/stages.rs
@@ -156,7 +156,8 @@
         let before = self.stage;
         self.listed |= input == Input::Listed;
         let done = match (self.stage, input) {
-            (Stage::Asking, Input::Asked) => true,
+            // An asking that ended with its time is late.
+            (Stage::Asking, Input::Asked) => self.due().is_some_and(|due| now < due),
             (Stage::Listing, _) => self.listed,
             (Stage::Finishing, Input::Left(0)) => true,
             _ => false,
@@ -266,6 +267,16 @@
         assert_eq!(took, expected);
     }
 
+    /// Guards against an asking that nobody answered in its time being told as one that was done.
+    #[test]
+    fn an_asking_that_took_all_its_time_is_late() {
+        for (at, why) in [(999, Why::Done), (1000, Why::Late)] {
+            let mut stages = Stages::new(SETTINGS, ms(0));
+            assert!(stages.handle(Input::Asked, ms(at)));
+            assert_eq!((stages.stage(), stages.steps()[0].why), (Stage::Listing, why));
+        }
+    }
+
     /// Guards against waiting for a list that came before it was its turn.
     #[test]
     fn a_list_that_came_early_counts() {
--- a/crates/micadrum-recovery/src/trust.rs
+++ b/crates/micadrum-recovery/src/trust.rs
@@ -105,6 +105,8 @@
     Empty,
     /// The journal is another sender's.
     Foreign(String),
+    /// The machine does not say which run of it this is, or did not when the journal was begun.
+    NoBoot,
     /// It has no stamp: it was written before this part was turned on.
     Unstamped,
     /// The machine began anew since.
@@ -135,6 +137,9 @@
             Self::Unstamped => f.write_str(
                 "the journal does not say on which run of the machine it was written: what it holds may have run",
             ),
+            Self::NoBoot => f.write_str(
+                "no boot id, now or then: nobody can tell whether the machine began anew, so it is taken as if it did",
+            ),
             Self::Rebooted { outlasted: true } => {
                 f.write_str("the machine began anew; the journal was written to outlast that")
             }
@@ -209,7 +214,8 @@
             match machine {
                 Machine::Another => findings.push(Finding::Rebooted { outlasted }),
                 Machine::Unknown if found.stamp.is_none() => findings.push(Finding::Unstamped),
-                Machine::Unknown | Machine::Same => {}
+                Machine::Unknown => findings.push(Finding::NoBoot),
+                Machine::Same => {}
             }
             if found.skipped > 0 {
                 findings.push(Finding::Damaged(found.skipped));
@@ -284,6 +290,18 @@
         self.journal == Faith::Binds
     }
 
+    /// Whether other senders are asked: what they know beside the folder is of use.
+    #[must_use]
+    pub fn asks(&self) -> bool {
+        self.is_return() || self.journal == Faith::Hint
+    }
+
+    /// Whether service returns in stages; else it is full at once.
+    #[must_use]
+    pub fn takes_stages(&self) -> bool {
+        self.is_return() || self.journal != Faith::Binds
+    }
+
     /// Whether the machine lost power, or may have: partners and the rest of the fleet may have too.
     #[must_use]
     pub fn is_return(&self) -> bool {
@@ -338,6 +356,8 @@
             let vouched = Found { clock_vouched: true, ..found(Some(&stamp), boot) };
             assert_eq!(Trust::judge(&vouched).clock, Clock::Believed);
         }
+        let stamped = stamp(true);
+        assert_eq!(Trust::judge(&found(Some(&stamped), None)).findings[0], Finding::NoBoot);
         let trust = Trust::judge(&found(None, Some(BEFORE)));
         assert_eq!((trust.journal, trust.findings[0].clone()), (Faith::Hint, Finding::Unstamped));
     }
@@ -363,6 +383,11 @@
         assert_eq!(damaged.journal, Faith::Hint);
         let torn = Trust::judge(&Found { torn: 3, ..found(Some(&stamp), Some(BEFORE)) });
         assert_eq!((torn.journal, torn.is_return()), (Faith::Binds, false));
+        let both = |trust: &Trust| (trust.asks(), trust.takes_stages());
+        assert_eq!(
+            [&torn, &empty, &lost, &damaged, &trust].map(both),
+            [(false, false), (false, false), (true, true), (true, true), (false, true),]
+        );
         let mut older = Trust::judge(&found(Some(&stamp), Some(BEFORE)));
         older.others_know(9);
         assert_eq!((older.journal, &older.findings[..]), (Faith::Hint, &[Finding::Older { known: 9 }][..]));
--- a/crates/micadrum-rehearsal/tests/common/mod.rs
+++ b/crates/micadrum-rehearsal/tests/common/mod.rs
@@ -37,3 +37,11 @@
     assert!(report.verdict.kept, "seed {seed}\n{}", report.text());
     report
 }
+
+/// The daemon's program, as this test was built beside it.
+pub fn daemon() -> PathBuf {
+    let exe = std::env::current_exe().unwrap();
+    let daemon = exe.parent().and_then(|deps| deps.parent()).unwrap().join("micadrum");
+    assert!(daemon.exists(), "{}: test the whole workspace, which builds it", daemon.display());
+    daemon
+}
--- a/crates/micadrum-rehearsal/tests/peers.rs
+++ b/crates/micadrum-rehearsal/tests/peers.rs
@@ -1,13 +1,13 @@
 //! Senders that know each other, several of them, with faults between them: simulated, and as real processes.
 mod common;
 
+use common::daemon;
 use micadrum_peers::{Event, Standing};
 use micadrum_rehearsal::history::{History, What};
 use micadrum_rehearsal::live;
 use micadrum_rehearsal::plan::Plan;
 use micadrum_rehearsal::report::Report;
 use micadrum_rehearsal::scenario::Scenario;
-use std::path::PathBuf;
 
 const SECOND: u64 = 1_000_000;
 
@@ -24,13 +24,6 @@
     format!("[[fault]]\nkind = \"{kind}\"\nat = \"{at} s\"\n{rest}\n")
 }
 
-fn daemon() -> PathBuf {
-    let exe = std::env::current_exe().unwrap();
-    let daemon = exe.parent().and_then(|deps| deps.parent()).unwrap().join("micadrum");
-    assert!(daemon.exists(), "{}: test the whole workspace, which builds it", daemon.display());
-    daemon
-}
-
 /// When all senders were up: the day begins then, on the kit's clock.
 fn begun(history: &History) -> u64 {
     history
--- a/crates/micadrum-rehearsal/tests/recovery.rs
+++ b/crates/micadrum-rehearsal/tests/recovery.rs
@@ -2,6 +2,7 @@
 //! several real processes.
 mod common;
 
+use common::daemon;
 use micadrum_recovery::stages::{Stage, Why};
 use micadrum_recovery::trust::{Clock, Faith, Finding, Machine};
 use micadrum_rehearsal::history::{History, Return};
@@ -10,7 +11,6 @@
 use micadrum_rehearsal::plan::Plan;
 use micadrum_rehearsal::report::Report;
 use micadrum_rehearsal::scenario::Scenario;
-use std::path::PathBuf;
 
 const SECOND: u64 = 1_000_000;
 
@@ -29,13 +29,6 @@
     format!("[[fault]]\nkind = \"power-loss\"\nat = \"{at} s\"\nfor = \"1 s\"\n{rest}\n")
 }
 
-fn daemon() -> PathBuf {
-    let exe = std::env::current_exe().unwrap();
-    let daemon = exe.parent().and_then(|deps| deps.parent()).unwrap().join("micadrum");
-    assert!(daemon.exists(), "{}: test the whole workspace, which builds it", daemon.display());
-    daemon
-}
-
 /// The returns of processes that found a journal of before.
 fn returned(history: &History) -> Vec<Return> {
     let again =
@@ -77,8 +70,13 @@
         );
     }
     in_order(report, 8);
-    // The building's senders asked those that never stopped.
+    // The building's senders asked in time, and heard the time from those that never stopped.
     assert!(returned[8..].iter().all(|of| of.steps[0].1.why == Why::Done));
+    assert!(
+        returned[8..].iter().all(|of| of.trust.as_ref().unwrap().offset.is_some()),
+        "{}",
+        report.history.text()
+    );
 }
 
 /// Guards against a return that pushes partners over, loses or doubles a message, or goes through its stages in another
@@ -109,6 +107,7 @@
     for seed in 1..=8 {
         let report = common::play(Plan::new(day(20, MACHINE, &faults), seed));
         assert!(report.verdict.kept, "seed {seed}\n{}", report.text());
+        assert_eq!(returned(&report.history).len(), 5);
         let off =
             returned(&report.history).iter().all(|of| of.trust.as_ref().unwrap().clock != Clock::Believed);
         assert!(off, "seed {seed}\n{}", report.history.text());
@@ -125,6 +124,7 @@
         loss(16, "senders = [1]\nfolder = \"older\""),
     ];
     let parts = format!("{MACHINE}list_for = \"1 s\"\n");
+    let mut judged = 0;
     for seed in 1..=4 {
         let report = common::play(Plan::new(day(28, &parts, &faults.concat()), seed));
         assert!(report.verdict.kept, "seed {seed}\n{}", report.text());
@@ -139,10 +139,13 @@
             let Some(trust) = back(sender, from) else { continue };
             let older = trust.findings.iter().any(|finding| matches!(finding, Finding::Older { .. }));
             assert!(older && trust.journal == Faith::Hint, "seed {seed}, sender {sender}: {trust:?}");
+            judged += 1;
         }
+        in_order(&report, 4);
         let last = returns.last().unwrap();
         assert!(last.started < 20 * SECOND, "{last:?}");
     }
+    assert!(judged >= 4, "{judged}");
 }
 
 /// Guards against a return that waits for peers whose links are cut or break, or that takes half a word for one.
@@ -171,6 +174,7 @@
 #[test]
 fn a_building_is_told_the_time_by_the_other() {
     let errors = "[[fault]]\nkind = \"errors\"\nat = \"2 s\"\nfor = \"12 s\"\ncalls = \"30%\"\n".to_owned();
+    let mut off = 0;
     let faults =
         [errors, loss(6, "building = \"building-a\"\nclock = \"3 h\"\nwith_partners = true")].concat();
     for seed in 1..=8 {
@@ -180,11 +184,14 @@
         assert_eq!(returned.len(), 3);
         for of in returned {
             let trust = of.trust.unwrap();
+            assert!(trust.offset.is_some(), "seed {seed}: the other building tells the time: {trust:?}");
             let (Clock::Off(by) | Clock::Behind(by)) = trust.clock else { continue };
             let told = trust.offset.unwrap().unsigned_abs();
             assert!(told > 5 * SECOND && by > SECOND, "seed {seed}: {trust:?}");
+            off += 1;
         }
     }
+    assert!(off >= 8, "of 24 clocks that are off by up to 3 h, {off} were seen to be");
 }
 
 /// Guards against a return that works where nothing else goes wrong alone: real processes of which one never comes back, one
--- a/src/daemon/host/mod.rs
+++ b/src/daemon/host/mod.rs
@@ -111,8 +111,8 @@
     marks: Marks,
     /// The last moment that the journal told of when it was opened, wall clock, microseconds.
     latest: u64,
-    /// Messages of before that are not to be sent yet.
-    resting: Vec<Resumed>,
+    /// Messages of before that are not to be sent yet, by deadline (wall clock, microseconds) and number.
+    resting: BTreeMap<(u64, u32), Resumed>,
 }
 
 /// The ends of the channels that a host works with.
@@ -240,7 +240,7 @@
             returning,
             marks: Marks::default(),
             latest: 0,
-            resting: Vec::new(),
+            resting: BTreeMap::new(),
         };
         host.show_classes();
         let chance = (!handed_over).then(|| ChaCha8Rng::seed_from_u64(seed));
@@ -322,7 +322,7 @@
         let successor = self.successor.as_ref().map(|(_, end)| *end);
         let memory = self.memory_due().map(|at| self.clock.instant(at));
         let durable = self.durable.as_ref().and_then(Durable::due);
-        let returning = self.returning.due();
+        let returning = self.return_due();
         let others = [wind_down, successor, memory, durable, returning];
         self.step_at().into_iter().chain(others.into_iter().flatten()).min()
     }
--- a/src/daemon/host/returning.rs
+++ b/src/daemon/host/returning.rs
@@ -3,18 +3,19 @@
 use crate::daemon::input::Doors;
 use crate::daemon::store::{Attempt, End, Owed};
 use crate::daemon::targets::Phase;
-use crate::{ClassId, Event, Repeat, Resumed, Span};
+use crate::{ClassId, Event, Repeat, Resumed, Span, Time};
 use micadrum_recovery::owed::{Left, Repeats, Verdict};
 use micadrum_recovery::stages::Input;
 use micadrum_recovery::words::OfEndpoint;
 use micadrum_recovery::{Caution, Stamp};
 use std::collections::BTreeMap;
+use tokio::time::Instant;
 
 impl Host {
     pub(super) fn repeats(&self, class: ClassId) -> Repeats {
         match self.settings.classes[class.0].repeat {
             Repeat::Safe => Repeats::Freely,
-            Repeat::Keyed { window, .. } => Repeats::Within(window.0),
+            Repeat::Keyed { .. } => Repeats::Within,
             Repeat::Unsafe => Repeats::Never,
         }
     }
@@ -22,7 +23,8 @@
     /// What the journal has of a message, as far as that is to be believed; an end where it has to end at once.
     pub(super) fn believed(&mut self, number: u32, class: ClassId, owed: &mut Owed) -> Option<End> {
         let repeats = self.repeats(class);
-        let begun = owed.ran.as_ref().or(owed.out.as_ref()).map(|first| first.at);
+        let first = owed.ran.as_ref().or(owed.out.as_ref()).cloned();
+        let begun = first.as_ref().map(|first| first.at);
         let not_before = self.store.not_before(number);
         match self.returning.judge(repeats, Left { ended: owed.end.is_some(), begun, not_before }) {
             Verdict::AsWritten => {
@@ -30,8 +32,7 @@
                 None
             }
             Verdict::MayHaveRun(at) => {
-                let zone = owed.ran.as_ref().or(owed.out.as_ref()).map(|first| first.zone.clone());
-                let attempt = Attempt { at, zone: zone.unwrap_or_default() };
+                let attempt = Attempt { at, zone: first.map(|first| first.zone).unwrap_or_default() };
                 owed.attempts = owed.attempts.max(1);
                 (owed.ran, owed.out) = (Some(attempt.clone()), None);
                 // A next process on this run of the machine takes the journal for all there is.
@@ -64,45 +65,53 @@
         }
     }
 
-    /// Hands a message of before to the module, once such are sent.
+    /// Hands a message of before to the module, once such are sent; one whose time is up at once, as its end needs no call.
     pub(super) fn take_up(&mut self, resumed: Resumed) {
-        // What has run out gets its end in any stage.
-        if resumed.ended || resumed.message.budget == Span(0) || self.returning.may_send() {
+        if resumed.ended || resumed.message.budget == Span(0) || self.sends_what_is_owed() {
             self.pending.push((self.now(), Event::Resumed(resumed)));
         } else {
-            self.resting.push(resumed);
+            let deadline = self.now().0 + resumed.message.budget.0;
+            self.resting.insert((deadline, resumed.message.id.0), resumed);
         }
     }
 
-    /// The stage may have changed.
+    fn sends_what_is_owed(&self) -> bool {
+        self.returning.may_send() || self.winding_down.is_some()
+    }
+
+    /// When the next thing happens to the return without anything from outside: its stage's time, or that of a message that
+    /// rests.
+    pub(super) fn return_due(&self) -> Option<Instant> {
+        let first =
+            self.resting.first_key_value().map(|((deadline, _), _)| self.clock.instant(Time(*deadline)));
+        self.returning.due().into_iter().chain(first).min()
+    }
+
+    /// The stage may have changed, or a message that rests run out.
     pub(super) fn go_on_returning(&mut self) {
         if self.returning.is_full() && self.resting.is_empty() {
             return;
         }
-        let left = self.numbers.len();
-        let moved = self.returning.handle(Input::Left(left));
-        self.end_what_rests();
+        let moved = self.returning.handle(Input::Left(self.numbers.len()));
+        self.wake_the_rested();
         if moved && self.returning.is_open() && self.winding_down.is_none() {
             self.doors.set(Doors::Open);
         }
     }
 
-    /// Hands on what rested, if its stage has come; and what has run out meanwhile, as that needs no call.
-    fn end_what_rests(&mut self) {
-        if self.resting.is_empty() {
-            return;
-        }
+    /// Hands on what rests, if its stage has come, in the order in which it was taken on; and what has run out meanwhile.
+    fn wake_the_rested(&mut self) {
         let now = self.now();
-        let may_send = self.returning.may_send() || self.winding_down.is_some();
-        for mut resumed in std::mem::take(&mut self.resting) {
-            let number = resumed.message.id.0;
-            let Some(deadline) = self.store.get(number).map(|owed| owed.deadline) else { continue };
+        let later = match self.sends_what_is_owed() {
+            true => BTreeMap::new(),
+            false => self.resting.split_off(&(now.0 + 1, 0)),
+        };
+        let woken = std::mem::replace(&mut self.resting, later);
+        let mut woken: Vec<((u64, u32), Resumed)> = woken.into_iter().collect();
+        woken.sort_by_key(|((_, number), _)| *number);
+        for ((deadline, _), mut resumed) in woken {
             resumed.message.budget = Span(deadline.saturating_sub(now.0));
-            if may_send || resumed.message.budget == Span(0) {
-                self.pending.push((now, Event::Resumed(resumed)));
-            } else {
-                self.resting.push(resumed);
-            }
+            self.pending.push((now, Event::Resumed(resumed)));
         }
     }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -122,7 +122,6 @@
     let (inputs, mut from_all) = unbounded_channel();
     let doors = Latest::new(Doors::Opening);
     let platform = Latest::new(config.discovery);
-    // What a machine that has begun anew goes by has to be there: lives, orders of the operators, the journal's stamp.
     let ports = match ports.traces.storage {
         true => {
             let traced = Traced::new(ports.storage.clone(), ports.log.clone());
@@ -130,6 +129,7 @@
         }
         false => ports,
     };
+    // What a machine that has begun anew goes by has to be there: lives, orders of the operators, the journal's stamp.
     let lasting = config.operator.durability != Durability::Process || config.operator.recovery.is_some();
     let ports = match lasting {
         true => Ports { storage: Rc::new(Lasting(ports.storage.clone())), ..ports },
@@ -279,7 +279,8 @@
         let (returning, host, wall) = (returning.clone(), host.clone(), wall.clone());
         Box::pin(async move {
             let mut word = Word::default();
-            if returning.may_speak() {
+            // From then on it sees to its own messages.
+            if returning.may_send() {
                 let (answer, answered) = oneshot::channel();
                 let _ = host.send(Input::Operator(Ask::Word(answer)));
                 word.endpoints = answered.await.unwrap_or_default();
--- a/src/daemon/peers/links.rs
+++ b/src/daemon/peers/links.rs
@@ -1,5 +1,5 @@
 //! Links to other members on real streams, and what goes over them today: each member's view, for operators who want to
-//! see who sees whom.
+//! see who sees whom, and its word for one that comes back.
 use super::{Ask, Views};
 use crate::daemon::ports::{Listener, LocalFuture, Log, Network, Stream};
 use micadrum_peers::{Link, LinkError, LinkEvent, MOST_PAYLOAD, MemberId, Roster, Secret, Status, View};
--- a/src/daemon/recovery/mod.rs
+++ b/src/daemon/recovery/mod.rs
@@ -44,7 +44,6 @@
     stages: Stages,
     asked: Option<Asked>,
     origin: Instant,
-    knows_ids: bool,
     wait_out: Duration,
     full_since: Option<Instant>,
     log: Rc<dyn Log>,
@@ -70,11 +69,6 @@
         })
     }
 
-    /// Whether this process has a word to say to others that come back: it sees to its own messages by now.
-    pub fn may_speak(&self) -> bool {
-        self.0.borrow().as_ref().is_none_or(|inner| inner.stages.may_send())
-    }
-
     /// For how long it has been at full service, in microseconds.
     pub fn steady_for(&self, since_start: Duration) -> Option<u64> {
         match &*self.0.borrow() {
@@ -141,7 +135,7 @@
     pub fn turns_away(&self, repeats: Repeats) -> Option<Duration> {
         let inner = self.0.borrow();
         let inner = inner.as_ref()?;
-        turned_away_for(repeats, inner.knows_ids, inner.wait_out, inner.origin.elapsed())
+        turned_away_for(repeats, inner.trust.knows_ids(), inner.wait_out, inner.origin.elapsed())
     }
 
     /// The time that is left to a message of before; as [`time_left`].
@@ -238,7 +232,6 @@
         stages: Stages::new(settings, Duration::ZERO),
         asked: None,
         origin,
-        knows_ids: true,
         wait_out: micros(set.wait_out),
         full_since: None,
         log: ports.log.clone(),
@@ -253,7 +246,7 @@
         if let Some(known) = forgot {
             trust.others_know(known);
         }
-        if trust.is_return() || trust.journal == Faith::Hint {
+        if trust.asks() {
             let (words, counts) = ask::words(peers, members, ports, until).await;
             let clocks: Vec<_> = words.iter().filter_map(ask::Heard::clocks).collect();
             trust.others_have(&offsets(&clocks));
@@ -276,13 +269,12 @@
     let stamp = Stamp { sender: config.name.clone(), boot: ports.boot, wall: wall(), outlasts_machine };
     returning.with(|inner, now| {
         inner.record(&Record::Trust(trust.clone()));
-        if trust.is_return() || trust.journal != Faith::Binds {
+        if trust.takes_stages() {
             inner.stages.handle(Input::Asked, now);
         } else {
             inner.stages = Stages::full(settings, now);
             inner.full_since = Some(Instant::now());
         }
-        inner.knows_ids = trust.knows_ids();
         (inner.trust, inner.asked) = (trust, asked);
         inner.tell(0);
     });
--- a/tests/sockets/recovery.rs
+++ b/tests/sockets/recovery.rs
@@ -15,6 +15,17 @@
     )
 }
 
+/// A node on the first run of its machine, its platform and its only endpoint; all of it serves.
+async fn started(outlasts: &str, rest: &str) -> (Platform, Peer, Node) {
+    let (platform, endpoint) = (Platform::start().await, Peer::start().await);
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    node.kill();
+    boot(&node, 1);
+    node.turn_on(&file(&node, outlasts, rest));
+    node.begin().await;
+    (platform, endpoint, node)
+}
+
 /// Waits until clients may come.
 async fn open(node: &Node) {
     while node.operator("GET /status", "").await.status() != 200 {
@@ -26,16 +37,8 @@
 /// door and a command that do not tell which it was.
 #[tokio::test]
 async fn a_crash_is_told_from_a_loss_of_power() {
-    let (mut platform, mut endpoint) = (Platform::start().await, Peer::start().await);
-    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
-    node.kill();
-    boot(&node, 1);
-    node.turn_on(&file(
-        &node,
-        "process",
-        "clock = \"vouched\"\nlist_for = \"100 ms\"\nfull_after = \"100 ms\"\n",
-    ));
-    node.begin().await;
+    let (mut platform, mut endpoint, mut node) =
+        started("process", "clock = \"vouched\"\nlist_for = \"100 ms\"\nfull_after = \"100 ms\"\n").await;
     let told = node.operator("GET /status/recovery", "").await.json();
     assert_eq!(told["trust"]["machine"], "unknown", "{told}");
     // Refused by the partner: it has not run, and waits for its next attempt.
@@ -74,12 +77,7 @@
 /// Guards against a journal of another sender that is sent from, or thrown away.
 #[tokio::test]
 async fn the_journal_of_another_sender_is_set_aside() {
-    let (platform, mut endpoint) = (Platform::start().await, Peer::start().await);
-    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
-    node.kill();
-    boot(&node, 1);
-    node.turn_on(&file(&node, "machine", ""));
-    node.begin().await;
+    let (_platform, mut endpoint, mut node) = started("machine", "").await;
     assert_eq!(node.hand_in("theirs", "unsafe", "").await.status(), 202);
     endpoint.call().await.reply(answer("429 Too Many Requests", "Retry-After: 1\r\n", ""));
     node.kill();
@@ -103,16 +101,8 @@
 /// come again.
 #[tokio::test]
 async fn newcomers_come_in_at_a_rate() {
-    let (platform, mut endpoint) = (Platform::start().await, Peer::start().await);
-    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
-    node.kill();
-    boot(&node, 1);
-    node.turn_on(&file(
-        &node,
-        "machine",
-        "list_for = \"100 ms\"\nnewcomers = \"1/s\"\nfull_after = \"60 s\"\n",
-    ));
-    node.begin().await;
+    let (_platform, mut endpoint, mut node) =
+        started("machine", "list_for = \"100 ms\"\nnewcomers = \"1/s\"\nfull_after = \"60 s\"\n").await;
     assert_eq!(node.hand_in("before", "unsafe", "").await.status(), 202);
     endpoint.call().await.ok();
     node.kill();
