Restart: what was found untried is tried, whatever settings or disk have become

Need: what a restart finds taken on and untried is still tried.

- decision/rules.rs, `shed`: with more held than there is room for, what never ran is refused, what was found untried too ("given up without a call").
It is no longer shed; newcomers give way.
- decision/turns.rs, `first_of`: newcomers worth more went first for as long as there were any.
What was found untried goes first of its destination.
- host/intake.rs, `resume`, with daemon/classes.rs: of a class that the settings no longer name a message failed at once, as one without the key that its class now wants.
Meanings of all classes are written down at the start (classes.json, until now only what a reload retired), the strictest of all meanings binds, order included, and of a name of which nothing is known a message is tried once.
One log line each.

Limits are chosen by the sum and tested by it (daemon/asking.rs): 6 s and 75 ms of 7 s for a watch that falls silent; call and pause within 0.8 of the grace for one that does not answer. A list may fill an eighth of the memory: indented, one of 10,000 endpoints was over the 2 MiB that were the bound.

Reload: idle time, report fields and the terms of the watch follow the new settings; they stayed those of the start. An unknown word in specifics.decay is refused; it was taken for "even". A missing conn_idle no longer means 5 s: nothing is kept.

--- a/src/daemon/asking.rs
+++ b/src/daemon/asking.rs
@@ -11,6 +11,21 @@
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use std::time::Duration;
 
+/// How long a call of the watch may wait for news, and how much longer its answer may take. What a watch that has fallen
+/// silent misses counts as told 6 s after that, or 2 s after the wait that was asked for, if that is later: from the call
+/// on, no sooner than 7 s after it. It is given up after 6 s, and asked again within 75 ms: what is left is for the answer.
+const HOLD: Duration = Duration::from_secs(5);
+const PATIENCE: Duration = Duration::from_secs(1);
+/// The same for a call that is to be answered at once, where the list comes on request: others are in line there too. One
+/// that fell silent counts as heard 6 s later.
+const PATIENCE_IN_LINE: Duration = Duration::from_secs(3);
+/// Pushed, an agent that was away counts as heard the moment it is back. Until it answers it is asked for what is there
+/// now, and waited for no longer than this share of the grace, pause and all; but never so briefly that one at work
+/// might not make it.
+const CALL_OF_GRACE: f64 = 0.3;
+const SHORTEST: Duration = Duration::from_millis(60);
+/// Calls in vain after which each may take long: the agent may just be slow.
+const MANY: u32 = 64;
 /// Pause after a first failure that follows an answer: well inside the 200 ms within which a watch goes on.
 const AT_ONCE: Duration = Duration::from_millis(50);
 /// For each sender of the fleet: what the first pause is long, and over what the first calls after a start are spread.
@@ -24,11 +39,13 @@
 const FIRST_OF_BOUND: f64 = 0.8;
 /// The longest pause, as a share of the time within which it must have asked again: chance adds half.
 const PAUSE_OF_BOUND: f64 = 0.5;
+/// The same where it is pushed: call and pause together stay within the grace, with a third of it for the answer.
+const PAUSE_OF_GRACE: f64 = 0.25;
 /// Where the list comes on request, a call in vain counts for so many times as long as none.
 const AFTER_FAILURE: u32 = 4;
 
 /// What the settings say of how the list is asked for.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Terms {
     /// Senders that ask in the same place.
     pub senders: usize,
@@ -40,34 +57,75 @@
     pub must_ask_in: Duration,
 }
 
+/// How one call of the watch is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// How long it may wait for news.
+    pub hold: Duration,
+    /// When it is given up, from its begin, if no answer has begun by then.
+    pub patience: Duration,
+    /// The same, if the answer has begun and is not there whole.
+    pub whole: Duration,
+}
+
 /// Pauses that double with each failure up to a bound, drawn by chance: senders that fail together do not come back
 /// together.
 pub struct Asking {
     first: Duration,
     doubled: Duration,
     longest: Duration,
+    /// How long a call may take that is to be answered at once.
+    at_once: Duration,
     failures: u32,
     random: ChaCha8Rng,
 }
 
+/// The first wait, the pause that is doubled, the longest one, and how long a call may take that is answered at once.
+fn pauses(terms: Terms) -> [Duration; 4] {
+    let senders = u32::try_from(terms.senders.clamp(1, MOST_SENDERS)).unwrap_or(1);
+    let within = |span: Duration, bound: Duration, share| match bound {
+        Duration::ZERO => span,
+        bound => span.min(bound.mul_f64(share)),
+    };
+    let must = terms.must_ask_in;
+    match terms.discovery {
+        Discovery::Pushed => {
+            let at_once = terms.grace.mul_f64(CALL_OF_GRACE).clamp(SHORTEST, PATIENCE);
+            [Duration::ZERO, AT_ONCE, terms.grace.mul_f64(PAUSE_OF_GRACE), at_once]
+        }
+        Discovery::OnRequest => [
+            within(SPREAD * senders, must, FIRST_OF_BOUND),
+            FIRST * senders,
+            within(LONGEST * senders, must * AFTER_FAILURE, PAUSE_OF_BOUND),
+            PATIENCE_IN_LINE,
+        ],
+    }
+}
+
 impl Asking {
     /// On those terms.
     pub fn new(terms: Terms, seed: u64) -> Self {
-        let senders = u32::try_from(terms.senders.clamp(1, MOST_SENDERS)).unwrap_or(1);
-        let within = |span: Duration, bound: Duration, share| match bound {
-            Duration::ZERO => span,
-            bound => span.min(bound.mul_f64(share)),
-        };
-        let must = terms.must_ask_in;
-        let (first, doubled, longest) = match terms.discovery {
-            Discovery::Pushed => (Duration::ZERO, AT_ONCE, terms.grace.mul_f64(PAUSE_OF_BOUND)),
-            Discovery::OnRequest => (
-                within(SPREAD * senders, must, FIRST_OF_BOUND),
-                FIRST * senders,
-                within(LONGEST * senders, must * AFTER_FAILURE, PAUSE_OF_BOUND),
-            ),
+        let [first, doubled, longest, at_once] = pauses(terms);
+        Self { first, doubled, longest, at_once, failures: 1, random: ChaCha8Rng::seed_from_u64(seed) }
+    }
+
+    /// On other terms, from the next call on.
+    pub fn follow(&mut self, terms: Terms) {
+        [self.first, self.doubled, self.longest, self.at_once] = pauses(terms);
+    }
+
+    /// How the next call is made; one for the whole list, with nothing `known`, is answered at once.
+    pub fn call(&self, known: bool) -> Call {
+        let pushed = self.first.is_zero();
+        if known && (self.failures == 0 || !pushed) {
+            return Call { hold: HOLD, patience: HOLD + PATIENCE, whole: HOLD + PATIENCE };
+        }
+        let (patience, whole) = match self.failures {
+            MANY.. => (self.at_once.max(PATIENCE), HOLD + PATIENCE),
+            _ => (self.at_once, self.at_once.max(PATIENCE)),
         };
-        Self { first, doubled, longest, failures: 1, random: ChaCha8Rng::seed_from_u64(seed) }
+        // One that waits for news is answered at its end at the latest.
+        Call { hold: patience / 4, patience, whole }
     }
 
     /// How long to wait before the first call, where a list is known that serves until then.
@@ -161,15 +219,57 @@
                 assert_eq!(asking.first(), Duration::ZERO, "{senders} senders, seed {seed}");
                 for _ in 0..20 {
                     let pause = asking.failed();
+                    let call = asking.call(true);
                     assert!(
-                        pause >= AT_ONCE / 2 && pause <= GRACE.mul_f64(0.8),
-                        "{senders}, {seed}: {pause:?}"
+                        pause >= AT_ONCE / 2 && pause + call.patience <= GRACE.mul_f64(0.8),
+                        "{senders}, {seed}: {pause:?}, {call:?}"
                     );
                 }
             }
         }
     }
 
+    /// Guards against a watch whose silence is found out too late to hear again what it missed by when that counts as told:
+    /// 6 s after it fell silent or 2 s after the wait that was asked for, whichever is later, however the list comes; and
+    /// against an agent that was away and counts as heard at once when it is back, longer than the grace before it is.
+    #[test]
+    fn silence_is_found_out_before_what_it_hides_counts_as_told() {
+        const ANSWER: Duration = Duration::from_millis(500);
+        for (seed, discovery) in
+            (0..200).flat_map(|seed| [(seed, Discovery::Pushed), (seed, Discovery::OnRequest)])
+        {
+            for grace in [Duration::from_millis(250), GRACE] {
+                let mut asking = Asking::new(Terms { grace, ..terms(300, discovery) }, seed);
+                asking.answered();
+                let watch = asking.call(true);
+                let told = Duration::from_secs(6).max(watch.hold + Duration::from_secs(2));
+                assert!(watch.patience.max(watch.whole) + asking.failed() + ANSWER <= told, "{watch:?}");
+                if discovery == Discovery::Pushed {
+                    let waited = |asking: &mut Asking| asking.call(true).patience + asking.failed();
+                    let longest = (1..20).map(|_| waited(&mut asking)).max().unwrap();
+                    assert!(longest.mul_f64(1.2) <= grace, "{longest:?} of {grace:?}, seed {seed}");
+                    assert!(asking.call(true).hold < asking.call(true).patience);
+                }
+                // Asked for all of it, it is answered at once or not at all.
+                let whole = asking.call(false);
+                assert!(whole.whole + Duration::from_secs(2) <= Duration::from_secs(6), "{whole:?}");
+            }
+        }
+    }
+
+    /// Guards against an agent that is only slow and never gets to answer.
+    #[test]
+    fn an_agent_that_is_slow_for_long_is_given_time() {
+        let mut asking =
+            Asking::new(Terms { grace: Duration::from_millis(250), ..terms(3, Discovery::Pushed) }, 1);
+        let first = asking.call(true);
+        (0..MANY).for_each(|_| assert!(asking.failed() > Duration::ZERO));
+        let later = asking.call(true);
+        assert!(first.patience < PATIENCE && later.patience >= PATIENCE && later.whole > first.whole);
+        asking.answered();
+        assert_eq!(asking.call(true).hold, HOLD);
+    }
+
     /// Guards against a sender that counts as told because it has not asked for too long, after its start or a call in
     /// vain; against a pause that is none or without bound, with an absurd fleet; and against one that stays long after
     /// an answer.
--- a/src/daemon/budget.rs
+++ b/src/daemon/budget.rs
@@ -15,6 +15,10 @@
 /// Share of the memory that request bodies may fill before they are handed in.
 const BODIES_SHARE: usize = 8;
 
+/// Share of the memory that a list may fill as it comes, and the least that it may.
+const LIST_SHARE: usize = 8;
+const LIST_LEAST: usize = 2 << 20;
+
 /// Share of the folder that lasts that the memory's file may hold: beside the journal at its most there is this twice.
 const MEMORY_SHARE: f64 = 0.02;
 
@@ -33,6 +37,8 @@
     pub clients: usize,
     /// Bytes of request bodies that are being read, over all clients.
     pub bodies: usize,
+    /// Bytes of a list of endpoints.
+    pub list: usize,
     /// Idle connections to endpoints.
     pub idle: usize,
     /// Connections whose answer is known and not yet read to its end.
@@ -56,6 +62,7 @@
         Self {
             clients: left.min(memory / CLIENTS_SHARE / CLIENT_MEMORY).max(1),
             bodies: memory / BODIES_SHARE,
+            list: (memory / LIST_SHARE).max(LIST_LEAST),
             idle,
             unread,
             disk: (limits.disk_mb * 1e6) as u64,
--- a/src/daemon/call.rs
+++ b/src/daemon/call.rs
@@ -100,7 +100,7 @@
         let (connection, answer) = match self.answer(kept, outside).await {
             Ok(Some(answered)) => answered,
             Ok(None) => {
-                done(self.called(self.all(Outcome::Void), None, None));
+                done(self.called(self.all(Outcome::Withheld), None, None));
                 return None;
             }
             Err(outcome) => {
--- a/src/daemon/discovery.rs
+++ b/src/daemon/discovery.rs
@@ -1,5 +1,5 @@
 //! The list of endpoints: an unbroken watch on the agent of this machine.
-use super::asking::Asking;
+use super::asking::{Asking, Call, Terms};
 use super::connection::{CallError, Connection, request};
 use super::input::Input;
 use super::latest::Latest;
@@ -13,13 +13,6 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::{sleep, timeout};
 
-/// How long one call of the watch may wait for news: short, as an agent that fell silent shows only by it.
-const HOLD: Duration = Duration::from_secs(5);
-/// An answer that takes this much longer than it may wait does not come any more.
-const PATIENCE: Duration = Duration::from_secs(1);
-/// No list is longer.
-const MOST_BYTES: usize = 2 << 20;
-
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
     #[error("no answer")]
@@ -34,26 +27,35 @@
     Json(#[from] serde_json::Error),
 }
 
+/// Who is asked for the list, and how.
+pub struct Agent {
+    /// Where it is.
+    pub address: Latest<SocketAddr>,
+    /// On which terms it is asked.
+    pub terms: Latest<Terms>,
+    /// The revision from which it is asked to go on first, if any.
+    pub known: Option<u64>,
+    /// No list is longer.
+    pub most_bytes: usize,
+}
+
 /// Watches the list at the agent's present address, for as long as the host listens, first from the revision that is
 /// `known`, if any: the whole list is much, and asked of discovery by all who start together. An agent at another
 /// address is asked for the whole list: its revisions need not follow those of the one before.
-pub async fn watch(
-    agents: Latest<SocketAddr>,
-    known: Option<u64>,
-    mut asking: Asking,
-    host: UnboundedSender<Input>,
-    ports: Ports,
-) {
+pub async fn watch(agent: Agent, mut asking: Asking, host: UnboundedSender<Input>, ports: Ports) {
+    let Agent { address: agents, terms, known, most_bytes } = agent;
     let mut agent = agents.get();
     let (mut revision, mut connection, mut failing) = (known, None, false);
     let mut pause = if known.is_some() { asking.first() } else { Duration::ZERO };
     loop {
+        asking.follow(terms.get());
         let answer = async {
             if !pause.is_zero() {
                 sleep(pause).await;
             }
-            let next = next(&*ports.network, agent, revision, &mut connection);
-            timeout(HOLD + PATIENCE, next).await.unwrap_or(Err(WatchError::Silent))
+            let call = asking.call(revision.is_some());
+            let next = next(&*ports.network, agent, revision, call, most_bytes, &mut connection);
+            timeout(call.whole, next).await.unwrap_or(Err(WatchError::Silent))
         };
         let answer = tokio::select! {
             biased;
@@ -89,21 +91,28 @@
     network: &dyn Network,
     agent: SocketAddr,
     revision: Option<u64>,
+    call: Call,
+    most_bytes: usize,
     kept: &mut Option<Connection>,
 ) -> Result<Targets, WatchError> {
-    let mut connection = match kept.take() {
-        Some(connection) => connection,
-        None => Connection::open(network, agent, HOLD).await?,
-    };
     let path = match revision {
-        Some(revision) => format!("/api/targets?from={revision}&hold_ms={}", HOLD.as_millis()),
+        Some(revision) => format!("/api/targets?from={revision}&hold_ms={}", call.hold.as_millis()),
         None => "/api/targets".to_owned(),
     };
-    let answer = connection.send(request(Method::GET, &path, agent), Bytes::new(), None).await?;
+    let (connection, answer) = timeout(call.patience, async {
+        let mut connection = match kept.take() {
+            Some(connection) => connection,
+            None => Connection::open(network, agent, call.patience).await?,
+        };
+        let answer = connection.send(request(Method::GET, &path, agent), Bytes::new(), None).await?;
+        Ok::<_, CallError>((connection, answer))
+    })
+    .await
+    .map_err(|_| WatchError::Silent)??;
     if !answer.status().is_success() {
         return Err(WatchError::Status(answer.status()));
     }
-    let body = http_body_util::Limited::new(answer.into_body(), MOST_BYTES).collect().await;
+    let body = http_body_util::Limited::new(answer.into_body(), most_bytes).collect().await;
     let targets: Targets = serde_json::from_slice(&body.map_err(WatchError::Body)?.to_bytes())?;
     *kept = Some(connection);
     Ok(Targets { agent: Some(agent), ..targets })
--- a/src/daemon/host/calls.rs
+++ b/src/daemon/host/calls.rs
@@ -22,9 +22,10 @@
             let begun = self.store.begin(number, Attempt { at: now.0, zone: zone.clone() });
             let Some(owed) = self.store.get(number) else { continue };
             if let Err(e) = begun {
-                // An attempt that a restart would not know of must not go out.
-                self.log(&format!("not sent: {e}"));
-                unsent.push((number, Outcome::Void, false));
+                // An attempt that a restart would not know of must not go out. It is none, and waits for room.
+                let attempt = owed.attempts;
+                self.log(&format!("held back: {e}"));
+                unsent.push((MessageId(number), attempt));
                 continue;
             }
             parcels.push(Parcel {
@@ -34,7 +35,11 @@
                 body: owed.message.body.clone(),
             });
         }
-        self.ended(now, now, unsent, None);
+        for (message, attempt) in unsent {
+            let (outcome, elapsed) = (Outcome::Withheld, Span(0));
+            let event = Event::Ended { message, attempt, outcome, elapsed, last: false, report: None };
+            self.pending.push((now, event));
+        }
         if parcels.is_empty() {
             return;
         }
@@ -104,7 +109,10 @@
                 self.over(number);
             } else {
                 let may_have_run = matches!(outcome, Outcome::Failure | Outcome::TimedOut | Outcome::Reset);
-                let booked = self.store.outcome(number, may_have_run);
+                let booked = match outcome {
+                    Outcome::Withheld => self.store.withheld(number),
+                    _ => self.store.outcome(number, may_have_run),
+                };
                 self.booked(booked);
             }
             let event = Event::Ended {
--- a/src/daemon/host/durable.rs
+++ b/src/daemon/host/durable.rs
@@ -141,7 +141,7 @@
             return;
         }
         self.calls.remove(&call.number);
-        let unsent = call.parcels.iter().map(|parcel| (parcel.number, Outcome::Void, false)).collect();
+        let unsent = call.parcels.iter().map(|parcel| (parcel.number, Outcome::Withheld, false)).collect();
         self.ended(now, now, unsent, None);
     }
 }
--- a/src/daemon/host/intake.rs
+++ b/src/daemon/host/intake.rs
@@ -88,9 +88,18 @@
     pub(super) fn resume(&mut self) {
         self.latest = self.store.latest();
         let owed: Vec<(u32, Owed)> = self.store.owed().map(|(number, owed)| (number, owed.clone())).collect();
+        if !owed.is_empty() {
+            let count = |which: fn(&Owed) -> bool| owed.iter().filter(|(_, owed)| which(owed)).count();
+            let untried = count(|owed| owed.end.is_none() && owed.attempts == 0);
+            let ended = count(|owed| owed.end.is_some());
+            let all = owed.len();
+            self.log(&format!(
+                "resuming: {all} messages, {untried} untried, {ended} ended and not yet noticed"
+            ));
+        }
         for (number, mut owed) in owed {
             self.numbers.insert(owed.message.id.clone(), number);
-            let class = self.classes.of_earlier(&owed.message.class);
+            let class = self.classes.of_earlier(&owed.message.class, owed.message.idempotency_key.is_some());
             let class = class.ok_or_else(|| format!("unknown class {:?}", owed.message.class));
             let fails = class.as_ref().ok().and_then(|class| self.believed(number, *class, &mut owed));
             if let Some(end) = fails {
--- a/src/daemon/host/mod.rs
+++ b/src/daemon/host/mod.rs
@@ -12,7 +12,7 @@
 
 use super::asking::Terms;
 use super::budget::Budget;
-use super::call::{Outside, ReportFields};
+use super::call::Outside;
 use super::classes::{Classes, Named};
 use super::config::Config;
 use super::connection::Connection;
@@ -30,16 +30,16 @@
 use super::ports::Ports;
 use super::recovery::{Begun, Marks, Returning};
 use super::shape::Shape;
-use super::store::{End, Store};
+use super::store::{End, Handed, Store};
 use super::trace::Trace;
 use crate::profile::{Names, Profile};
-use crate::{Action, EndpointId, Event, MessageId, Outcome, Resumed, Sender, Settings, Span, Time};
+use crate::{Action, EndpointId, Event, MessageId, Outcome, Resumed, Sender, Settings, Time};
 use clock::Clock;
 use durable::Durable;
 pub use leaving::Legacy;
 use leaving::WindDown;
 use list::Endpoint;
-use operators::{CLASSES, retired_classes};
+use operators::{CLASSES, idle_time, report_fields, retired_classes};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use std::collections::BTreeMap;
@@ -75,6 +75,8 @@
     figures: Figures,
     picture: Option<(Instant, Rc<Figures>)>,
     platform: Latest<SocketAddr>,
+    /// On which terms the list is asked for, for the watch.
+    terms: Latest<Terms>,
     store: Store,
     pool: Pool<Connection>,
     clock: Clock,
@@ -153,6 +155,14 @@
     Ok(Settings { classes: classes.all(), ..own })
 }
 
+/// On which terms the list is asked for.
+fn terms(settings: &Settings) -> Terms {
+    let Settings { senders, discovery, rules, .. } = settings;
+    let [grace, must_ask_in] =
+        [rules.drain_grace, rules.must_ask_in].map(|span| Duration::from_micros(span.0));
+    Terms { senders: *senders, discovery: *discovery, grace, must_ask_in }
+}
+
 impl Host {
     /// A host that takes up what the journal still owes.
     pub fn new(
@@ -175,27 +185,31 @@
         };
         let names = profile.names();
         let retired = retired_classes(&*ports.storage).unwrap_or_else(|e| {
-            ports.log.line(&format!("{CLASSES}: {e}; messages of classes that have gone will fail"));
+            ports.log.line(&format!("{CLASSES}: {e}; messages of classes that have gone are tried once"));
             Vec::new()
         });
         // Only those are still of use that a message is of.
         let wanted = |class: &Named| store.owed().any(|(_, owed)| owed.message.class == class.0);
         let retired = earlier.into_iter().chain(retired).filter(wanted).collect();
-        let classes = Classes::new(profile.classes()?, retired)?;
+        let mut classes = Classes::new(profile.classes()?, retired)?;
+        for (_, owed) in store.owed() {
+            let Handed { class, idempotency_key, .. } = &owed.message;
+            if !classes.take_up(class, idempotency_key.is_some()) {
+                let once = "what was taken on under it and not tried is tried once";
+                ports.log.line(&format!("resuming: class {class:?} is unknown: {once}"));
+            }
+        }
         let settings = settings(profile, &names, &classes)?;
         let (maintenance, wrong) = Maintenance::open(ports.storage.clone());
         if let Some(wrong) = wrong {
             ports.log.line(&wrong);
         }
-        let idle = profile.connection_idle().unwrap_or(Span(5_000_000));
         let clock = Clock::new(&*ports.wall);
-        let fields = ReportFields {
-            left: profile.report_field("x0").is_some(),
-            limit: profile.report_field("x1").is_some(),
-        };
+        let fields = report_fields(profile);
         let unread = Arc::new(Semaphore::new(budget.unread));
         let mut host = Self {
             sender: Sender::new(settings.clone(), seed).map_err(|e| e.to_string())?,
+            terms: Latest::new(terms(&settings)),
             settings,
             names,
             classes,
@@ -208,7 +222,7 @@
             picture: None,
             platform: links.platform,
             store,
-            pool: Pool::new(Duration::from_micros(idle.0), budget.idle),
+            pool: Pool::new(idle_time(profile), budget.idle),
             clock,
             endpoints: BTreeMap::new(),
             endpoint_ids: BTreeMap::new(),
@@ -250,18 +264,16 @@
         host.start_from(memory, &config, chance);
         host.heed(found.caution);
         host.resume();
+        host.keep_classes();
         host.stamp(found.stamp);
         host.step();
         host.begin_memory();
         Ok(host)
     }
 
-    /// On which terms the list is asked for.
-    pub fn asking(&self) -> Terms {
-        let Settings { senders, discovery, rules, .. } = self.settings;
-        let [grace, must_ask_in] =
-            [rules.drain_grace, rules.must_ask_in].map(|span| Duration::from_micros(span.0));
-        Terms { senders, discovery, grace, must_ask_in }
+    /// On which terms the list is asked for, as they change.
+    pub fn terms(&self) -> Latest<Terms> {
+        self.terms.clone()
     }
 
     /// Works until it has wound down, or given up its place.
--- a/src/daemon/host/operators.rs
+++ b/src/daemon/host/operators.rs
@@ -1,6 +1,7 @@
 //! What operators ask: other settings, figures.
 use super::list::Endpoint;
-use super::{Host, settings};
+use super::{Host, settings, terms};
+use crate::daemon::call::ReportFields;
 use crate::daemon::classes::Named;
 use crate::daemon::config::Config;
 use crate::daemon::figures::Figures;
@@ -8,13 +9,14 @@
 use crate::daemon::peers;
 use crate::daemon::ports::Storage;
 use crate::daemon::targets::Phase;
+use crate::profile::Profile;
 use crate::{EndpointId, Event};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Classes that messages of earlier processes may still be of, in the folder that lasts.
+/// Classes that messages may be of, in the folder that lasts: the next process may be told of others.
 pub(super) const CLASSES: &str = "classes.json";
 
 pub(super) const NEW_CLASSES: &str = "classes.json.new";
@@ -29,6 +31,17 @@
     }
 }
 
+/// How long an idle connection stays open at its endpoint, by the settings.
+pub(super) fn idle_time(profile: &Profile) -> Duration {
+    Duration::from_micros(profile.connection_idle().0)
+}
+
+/// What reports tell, by the settings.
+pub(super) fn report_fields(profile: &Profile) -> ReportFields {
+    let has = |name| profile.report_field(name).is_some();
+    ReportFields { left: has("x0"), limit: has("x1") }
+}
+
 impl Host {
     /// Takes a configuration over whole, or leaves all as it was.
     pub(super) fn reload(&mut self, config: &Config) -> Result<String, String> {
@@ -46,10 +59,9 @@
         classes.change(named)?;
         let settings = settings(profile, &names, &classes)?;
         settings.check().map_err(|e| e.to_string())?;
-        let retired = classes.retired();
-        // Before a message of a class that has gone can be all that is left of it.
-        if retired != self.classes.retired() {
-            let written = replace(&*self.outside.ports.storage, CLASSES, NEW_CLASSES, &retired);
+        // Before a message of a class that is new can be handed in.
+        if classes.named() != self.classes.named() {
+            let written = replace(&*self.outside.ports.storage, CLASSES, NEW_CLASSES, &classes.named());
             written.map_err(|e| format!("writing {CLASSES}: {e}"))?;
         }
         if let (Some(peers), Some(members)) = (&self.peers, members) {
@@ -58,13 +70,29 @@
         let as_before = if self.platform.set(config.discovery) { "" } else { " as before" };
         (self.classes, self.names) = (classes, names);
         self.show_classes();
+        self.pool.keep_for(idle_time(profile));
+        self.outside.fields = report_fields(profile);
         if settings != self.settings {
             self.settings = settings.clone();
+            self.terms.set(terms(&self.settings));
             self.pending.push((self.now(), Event::Settings(Box::new(settings))));
         }
         Ok(format!("discovery at {}{as_before}, {} classes", config.discovery, self.classes.names().count()))
     }
 
+    /// Writes down what the classes mean, before anybody is served.
+    pub(super) fn keep_classes(&mut self) {
+        let storage = &*self.outside.ports.storage;
+        if retired_classes(storage).is_ok_and(|written| written == self.classes.named()) {
+            return;
+        }
+        if let Err(e) = replace(storage, CLASSES, NEW_CLASSES, &self.classes.named()) {
+            self.log(&format!(
+                "writing {CLASSES}: {e}; a next process goes by what its settings say of a class"
+            ));
+        }
+    }
+
     pub(super) fn show_classes(&mut self) {
         for class in self.classes.names() {
             self.figures.show(class);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -35,6 +35,7 @@
 use asking::Asking;
 use budget::Budget;
 use config::Config;
+use discovery::Agent;
 use durability::{Lasting, Traced};
 use figures::Figures;
 pub use handover::HandoverError;
@@ -184,8 +185,7 @@
             }
         };
         if damage != Damage::default() {
-            let Damage { torn, skipped } = damage;
-            ports.log.line(&format!("journal: {torn} bytes cut off at the end, {skipped} passed over"));
+            ports.log.line(&format!("journal: {damage}"));
         }
         let (notices, queue) = unbounded_channel();
         let links = Links {
@@ -206,9 +206,10 @@
         };
         let host = Host::new(start, store, links, budget, ports.clone()).map_err(StartError::Settings)?;
         let mut with_platform = JoinSet::new();
-        let asking = Asking::new(host.asking(), seed);
-        let watch =
-            discovery::watch(platform.clone(), host.asks_from(), asking, inputs.clone(), ports.clone());
+        let (terms, known) = (host.terms(), host.asks_from());
+        let asking = Asking::new(terms.get(), seed);
+        let agent = Agent { address: platform.clone(), terms, known, most_bytes: budget.list };
+        let watch = discovery::watch(agent, asking, inputs.clone(), ports.clone());
         with_platform.spawn_local(watch);
         with_platform.spawn_local(notices::run(platform.clone(), queue, inputs.clone(), ports.clone()));
         // Only now: a sender that can be reached has taken up what it owes.
--- a/src/daemon/pool.rs
+++ b/src/daemon/pool.rs
@@ -37,7 +37,15 @@
     /// `idle_time` is how long endpoints keep an idle connection open: ours are dropped well before. `most`
     /// are kept over all endpoints; past that the oldest goes.
     pub fn new(idle_time: Duration, most: usize) -> Self {
-        Self { idle: BTreeMap::new(), ages: BTreeMap::new(), next: 0, keep: idle_time * 4 / 5, most }
+        let keep = Duration::ZERO;
+        let mut pool = Self { idle: BTreeMap::new(), ages: BTreeMap::new(), next: 0, keep, most };
+        pool.keep_for(idle_time);
+        pool
+    }
+
+    /// From now on endpoints keep an idle connection open for so long.
+    pub fn keep_for(&mut self, idle_time: Duration) {
+        self.keep = idle_time * 4 / 5;
     }
 
     /// The youngest idle connection to the endpoint at its address, if any is young enough and not closed.
--- a/src/daemon/trace.rs
+++ b/src/daemon/trace.rs
@@ -44,6 +44,7 @@
             Outcome::Reset => ("reset", None),
             Outcome::Cancelled => ("cancelled", None),
             Outcome::Void => ("void", None),
+            Outcome::Withheld => ("withheld", None),
         };
         let wait = wait.map_or(String::new(), |wait| format!(" wait_us={}", wait.0));
         let report = report.map_or(String::new(), |r| format!(" left={} limit={}", r.left, r.limit));
--- a/src/decision/line.rs
+++ b/src/decision/line.rs
@@ -152,7 +152,7 @@
         let calm = since(now, self.last_refusal) > s.rules.ramp.0;
         let flow = &mut self.flow;
         match outcome {
-            Outcome::Cancelled | Outcome::Void => return false,
+            Outcome::Cancelled | Outcome::Void | Outcome::Withheld => return false,
             Outcome::Success => {
                 (self.streak, self.fulls, self.last_success) = (0, 0, now);
                 flow.failing -= LEARN * flow.failing;
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -175,7 +175,7 @@
             }
             Event::WindDown(end) => self.ends_at = Some((*end, false)),
             Event::HandOver(end) => self.ends_at = Some((*end, true)),
-            Event::Settings(settings) => self.settle(settings, actions),
+            Event::Settings(settings) => self.settle(settings),
             Event::Ended { .. } => self.ended(event, actions),
             Event::Withdrawn(id) => self.withdrawn(*id),
             Event::FullList(entries) => self.list(entries, true),
@@ -198,7 +198,7 @@
         let crowded = message.key.filter(|_| ordered).and_then(|k| self.keys.enter(k, place, message.id));
         let deadline = Time(self.now.0 + message.budget.0);
         let stage = Stage::Waiting(self.now);
-        let held = Held { message, deadline, place, attempts: 0, stage, ran: None, slip: None };
+        let held = Held { message, deadline, place, attempts: 0, stage, ran: None, found: false, slip: None };
         self.held.insert(message.id, Box::new(held));
         self.file(message.id);
         if let Some(first) = crowded {
@@ -222,7 +222,7 @@
         let wait = if attempts > 0 { rules::backoff(class, attempts, jitter) } else { 0.0 };
         let at = after(self.now, wait);
         let Some(held) = self.held.get_mut(&message.id) else { return };
-        held.attempts = attempts;
+        (held.attempts, held.found) = (attempts, attempts == 0);
         held.stage = Stage::Waiting(at);
         held.ran = ran.map(|(sent, zone)| Ran { sent, zone });
         self.file(message.id);
@@ -284,14 +284,11 @@
     }
 
     /// Other settings hold from now on. A message that has had all the attempts now allowed ends.
-    fn settle(&mut self, settings: &Settings, actions: &mut Vec<Action>) {
+    fn settle(&mut self, settings: &Settings) {
         self.waiting.classes(settings.classes.iter().map(|class| bends(class, settings.decay)).collect());
         self.settings = settings.clone();
-        let spent =
-            |held: &Held| matches!(held.stage, Stage::Waiting(_)) && held.attempts >= settings.max_attempts;
-        let mut spent: Vec<_> = self.held.iter().filter(|(_, held)| spent(held)).map(|(id, _)| *id).collect();
-        spent.sort_unstable();
-        spent.into_iter().for_each(|id| self.end(id, actions));
+        let spent = |held: &Held| held.attempts >= settings.max_attempts;
+        self.closed.extend(self.held.iter().filter(|(_, held)| spent(held)).map(|(id, _)| *id));
     }
 
     /// What was learned of an endpoint that has gone is dropped once no call to it is out, no wait that it
@@ -319,6 +316,7 @@
         }
         let over = last || matches!(held.stage, Stage::Over(_));
         held.stage = Stage::Waiting(self.now);
+        held.attempts -= u32::from(outcome == Outcome::Withheld);
         let may_run =
             matches!(outcome, Outcome::Failure | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
         let zone = self.directory.endpoint(tried.endpoint).map_or(ZoneId(usize::MAX), |at| at.zone);
@@ -383,14 +381,17 @@
         let Message { class, destination, key, .. } = held.message;
         let of_class = &self.settings.classes[class.0];
         let key = key.filter(|_| of_class.ordered);
-        let crowded = key.is_some_and(|key| self.keys.crowded(key));
+        // What was found untried after a restart goes before what comes, and is never shed for it.
+        let found = held.found && held.attempts == 0;
+        let crowded = found || key.is_some_and(|key| self.keys.crowded(key));
         let (first, rest) = match key.and_then(|key| self.keys.first(key)) {
             Some((first, rest)) => (first == Some(id), rest),
             None => (true, Time(0)),
         };
         let ready = if held.attempts == 0 { at.max(rest) } else { at };
+        let spent = held.attempts >= self.settings.max_attempts;
         let stand = match () {
-            () if !first || held.attempts >= self.settings.max_attempts => Stand::Behind,
+            () if !first || spent => Stand::Behind,
             () if ready > self.now => Stand::Until(ready),
             () => Stand::Ready,
         };
@@ -402,12 +403,12 @@
             (Repeat::Unsafe, Some(_)) => (None, Some(self.now)),
             _ => (None, None),
         };
-        // Who may go only after its window has closed is over now.
+        // Who may go only after its window has closed is over now, and who has had all attempts.
         let window = closes.filter(|closes| at.max(self.now) < *closes);
-        if window != closes {
+        if window != closes || spent {
             self.closed.push(id);
         }
-        let (deadline, ran) = (held.deadline, held.ran.is_some());
+        let (deadline, ran) = (held.deadline, held.ran.is_some() || found);
         let slip = Slip { class, destination, deadline, ran, zone, window, crowded, stand };
         self.waiting.file(id, &slip);
         held.slip = Some(slip);
@@ -510,7 +511,9 @@
                 self.wait(Some(place), wait);
             }
         }
-        if first && !matches!(outcome, Outcome::Success | Outcome::Cancelled | Outcome::Void) {
+        if first
+            && !matches!(outcome, Outcome::Success | Outcome::Cancelled | Outcome::Void | Outcome::Withheld)
+        {
             self.close_shared(destination);
         }
         if back {
--- a/src/decision/rules.rs
+++ b/src/decision/rules.rs
@@ -167,10 +167,11 @@
         2 * HEARTBEAT * self.settings.period.0
     }
 
-    /// Whether a message that waits can no longer be delivered, by time or by the effect rule.
+    /// Whether a message that waits can no longer be delivered, by time, attempts or the effect rule.
     pub(super) fn is_due(&self, held: &Held) -> bool {
         matches!(held.stage, Stage::Waiting(at)
-            if self.now >= self.last_moment(held.deadline) || !self.repeatable(held, self.now.max(at)))
+            if self.now >= self.last_moment(held.deadline) || held.attempts >= self.settings.max_attempts
+                || !self.repeatable(held, self.now.max(at)))
     }
 
     /// Ends those whose time is up, or the window of whose key has closed.
--- a/src/decision/slow.rs
+++ b/src/decision/slow.rs
@@ -17,6 +17,7 @@
         while self.held.len() > self.room() {
             let least = (self.held.iter())
                 .filter(|(_, h)| matches!(h.stage, Stage::Waiting(_)) && h.ran.is_none())
+                .filter(|(_, h)| !(h.found && h.attempts == 0))
                 .map(|(id, h)| (self.worth(h.message.class, h.deadline, 0.0), h.deadline, *id))
                 .min_by(|a, b| a.0.total_cmp(&b.0).then((a.1, a.2).cmp(&(b.1, b.2))));
             let Some((.., id)) = least else { return };
@@ -36,7 +37,7 @@
         }
         for queue in waiting.values_mut() {
             queue.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
-            // Those that others wait behind come before all, each part in its order.
+            // Those that others wait behind, and those found untried after a restart, come before all, each part in its order.
             queue.sort_by_key(|(.., id)| !self.held[id].slip.is_some_and(|slip| slip.crowded));
         }
         waiting.retain(|destination, _| self.directory.destination(*destination).is_some());
--- a/src/index/held.rs
+++ b/src/index/held.rs
@@ -46,6 +46,8 @@
     pub stage: Stage,
     /// The first attempt that may have run.
     pub ran: Option<Ran>,
+    /// An earlier process took it on and did not try it: this one owes it a try.
+    pub found: bool,
     /// How the books have it, while it waits.
     pub slip: Option<Slip>,
 }
--- a/src/index/waiting.rs
+++ b/src/index/waiting.rs
@@ -41,13 +41,13 @@
     pub destination: DestinationId,
     /// When its time is up.
     pub deadline: Time,
-    /// Whether an attempt may have run.
+    /// Whether an attempt may have run, or it is owed a first one: it cannot be shed for others.
     pub ran: bool,
     /// The only zone that it may go to.
     pub zone: Option<ZoneId>,
     /// When the window of its key closes.
     pub window: Option<Time>,
-    /// Whether others wait behind it.
+    /// Whether it goes first: others wait behind it, or it was found untried after a restart.
     pub crowded: bool,
     /// Where it stands.
     pub stand: Stand,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -309,6 +309,8 @@
     Cancelled,
     /// Never sent.
     Void,
+    /// Held back by this sender itself, before anything was written: it counts as no attempt.
+    Withheld,
 }
 
 /// What an answer tells of a limit.
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -169,9 +169,10 @@
         self.specifics.max_calls
     }
 
-    /// How long an endpoint keeps an idle connection open, at the most.
-    pub fn connection_idle(&self) -> Option<Span> {
-        self.limits.conn_idle.map(Span)
+    /// How long an endpoint keeps an idle connection open, at the most; no time at all where nothing is said of it, as a
+    /// call that meets a closed one may be lost.
+    pub fn connection_idle(&self) -> Span {
+        Span(self.limits.conn_idle.unwrap_or(0))
     }
 
     /// The settings of the decision module.
@@ -196,7 +197,11 @@
             max_attempts: self.limits.max_attempts,
             period: Span(self.period),
             connect_timeout: Span(self.limits.connect_timeout),
-            decay: if s.decay.as_deref() == Some("by_half") { Decay::Halves } else { Decay::Even },
+            decay: match s.decay.as_deref() {
+                None | Some("even") => Decay::Even,
+                Some("by_half") => Decay::Halves,
+                Some(other) => return Err(format!("specifics.decay: {other:?} is neither even nor by_half")),
+            },
             discovery: match self.discovery {
                 Mode::Pushed => Discovery::Pushed,
                 Mode::OnRequest => Discovery::OnRequest,
--- /dev/null
+++ b/tests/sockets/terminated.rs
@@ -0,0 +1,155 @@
+//! SIGTERM, SIGHUP and SIGKILL at named bytes: of a client's request, of a call, of a notice.
+use super::raw::*;
+use super::world::*;
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+/// No planned end takes longer: the platform kills 3.7 s after SIGTERM.
+const KILLED: Duration = Duration::from_millis(3_700);
+
+async fn closing(node: &Node) {
+    while node.request("GET /-/ready", "", b"").await.status() == 200 {}
+}
+
+/// Guards against a client that is left without an answer as its request is half read at SIGTERM, and against one that is
+/// told yes of a message that nobody delivers.
+#[tokio::test]
+async fn a_request_that_is_half_read_at_sigterm_is_answered() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    let text = Client::text("half", "keyed", "");
+    // In the head, and in the body.
+    for cut in [20, text.len() - 2] {
+        let mut client = Client::connect(node.address).await;
+        client.say(&text[..cut]).await;
+        node.terminate();
+        closing(&node).await;
+        client.say(&text[cut..]).await;
+        let said = client.answer().await.expect("an answer").status();
+        assert!([202, 503].contains(&said), "{said}");
+        if said == 202 {
+            let call = endpoint.call().await;
+            assert_eq!(call.id(), "half");
+            call.ok();
+        }
+        assert!(node.ends_well().await);
+        assert!(endpoint.quiet(Duration::from_millis(20)).await);
+        // What is over stays so: the next is another message.
+        std::fs::remove_file(node.journal()).unwrap();
+        node.begin().await;
+    }
+}
+
+/// Guards against a message that goes out once more, or a kill that comes before the process ends by itself, as an endpoint
+/// stops in the midst of a call at SIGTERM: before its answer for good, or within it and then goes on.
+#[tokio::test]
+async fn a_call_that_is_out_at_sigterm_ends_as_it_would() {
+    let (endpoint, mut platform) = (Raw::start().await, Platform::start().await);
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    assert_eq!(node.hand_in("half", "unsafe", "").await.status(), 202);
+    let mut link = endpoint.link().await;
+    assert_eq!(link.request().await.header("x-txn"), Some("half"));
+    node.terminate();
+    closing(&node).await;
+    let (first, rest) = OK.split_at(10);
+    link.say(first).await;
+    link.say(rest).await;
+    assert!(node.ends_well().await, "with nothing owed it ends by itself");
+    node.begin().await;
+    // One hangs through all of it: its process ends in time, and what may have run is not sent again.
+    assert_eq!(node.hand_in("hangs", "unsafe", "").await.status(), 202);
+    let mut link = endpoint.link().await;
+    assert_eq!(link.request().await.header("x-txn"), Some("hangs"), "the one before is over");
+    let begun = Instant::now();
+    node.terminate();
+    assert!(node.ends_well().await);
+    assert!(begun.elapsed() < KILLED, "{:?}", begun.elapsed());
+    node.begin().await;
+    assert_eq!(platform.notice().await, json!({"id": "hangs", "state": "failed"}));
+    assert!(endpoint.quiet(Duration::from_millis(50)).await, "it may have run");
+}
+
+/// Guards against an end that the platform never hears, as SIGTERM, then SIGHUP, then a kill come while its notice is out.
+#[tokio::test]
+async fn a_notice_that_is_out_at_the_end_goes_again() {
+    let (mut endpoint, mut agent) = (Peer::start().await, Peer::start().await);
+    let platform = Platform::at(agent.address);
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    let mut watches = Vec::new();
+    let notice = async |agent: &mut Peer, watches: &mut Vec<Call>| loop {
+        let call = agent.call().await;
+        if call.http.first.starts_with("POST /v1/notices") {
+            return call;
+        }
+        watches.push(call);
+    };
+    assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+    endpoint.call().await.reply(answer("500 Internal Server Error", "", ""));
+    let unanswered = notice(&mut agent, &mut watches).await;
+    node.terminate();
+    closing(&node).await;
+    node.reload(&platform);
+    node.kill();
+    drop(unanswered);
+    node.begin().await;
+    let again = loop {
+        let call = notice(&mut agent, &mut watches).await;
+        // The process before may have asked once more.
+        if watches.len() > 1 || call.http.json() == json!({"id": "m1", "state": "failed"}) {
+            break call;
+        }
+    };
+    assert_eq!(again.http.json(), json!({"id": "m1", "state": "failed"}));
+    again.reply(answer("204 No Content", "", ""));
+    assert!(endpoint.quiet(Duration::from_millis(50)).await, "it may have run");
+}
+
+/// Guards against clients that go on sending on every connection until the kill and hear neither an answer nor a close that
+/// tells them that the request never ran; and against a yes of what is then lost.
+#[tokio::test]
+async fn clients_that_send_until_the_kill_hear_an_answer_or_a_close() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    assert_eq!(node.hand_in("out", "unsafe", "").await.status(), 202);
+    let out = endpoint.call().await;
+    let mut clients = Vec::new();
+    for _ in 0..20 {
+        clients.push(Client::connect(node.address).await);
+    }
+    // Several at once on one connection: each answer comes in turn, and none after the one that says it closes.
+    let piped: Vec<String> = (0..3).map(|n| Client::text(&format!("piped{n}"), "keyed", "")).collect();
+    let mut pipe = Client::connect(node.address).await;
+    node.terminate();
+    pipe.say(&piped.concat()).await;
+    let mut taken = vec!["out".to_owned()];
+    let mut closes = false;
+    let mut n = 0;
+    while let Some(said) = pipe.answer().await {
+        assert!(!closes, "an answer after the one that says it closes");
+        closes = said.header("connection") == Some("close");
+        taken.extend((said.status() == 202).then(|| format!("piped{n}")));
+        n += 1;
+    }
+    closing(&node).await;
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.say(&Client::text(&format!("late{n}"), "keyed", "")).await;
+        let said = client.answer().await.expect("an answer while the process lives");
+        assert_eq!(said.header("connection"), Some("close"));
+        taken.extend((said.status() == 202).then(|| format!("late{n}")));
+    }
+    node.kill();
+    drop(out);
+    node.begin().await;
+    let mut came: Vec<String> = Vec::new();
+    while came.len() + 1 < taken.len() {
+        let call = endpoint.call().await;
+        if !came.contains(&call.id().to_owned()) {
+            came.push(call.id().to_owned());
+        }
+        call.ok();
+    }
+    came.push("out".to_owned());
+    came.sort();
+    taken.sort();
+    assert_eq!(came, taken, "all that was said yes to, and nothing else");
+}
