Judge: a wait that is told into a cut binds nobody; crossing tests wait for whole requests

Each wait was told by an answer written on a connection that was cut: world/endpoints.rs reckoned when it would be heard from the link's delay alone, and Unheard needs the sender's end, which comes with the answer's. Line::arrives says whether what is written gets there; tested in sim/net.rs, and the judge's own tests still convict a wait that was heard.

--- a/crates/micadrum-rehearsal/src/http.rs
+++ b/crates/micadrum-rehearsal/src/http.rs
@@ -121,6 +121,11 @@
         self.line.delay()
     }
 
+    /// Whether what is written now comes to the other side at all, as far as can be known.
+    pub fn arrives(&self) -> bool {
+        self.line.arrives()
+    }
+
     /// Whether the other side has ended the connection by now.
     pub async fn is_over(&mut self) -> bool {
         let mut look = pin!(self.more());
--- a/crates/micadrum-rehearsal/src/live/mod.rs
+++ b/crates/micadrum-rehearsal/src/live/mod.rs
@@ -80,6 +80,10 @@
     fn delay(&self) -> Duration {
         Duration::ZERO
     }
+
+    fn arrives(&self) -> bool {
+        true
+    }
 }
 
 enum Stop {
--- a/crates/micadrum-rehearsal/src/sim/net.rs
+++ b/crates/micadrum-rehearsal/src/sim/net.rs
@@ -560,6 +560,11 @@
         let (me, peer) = self.ends();
         self.net.upgrade().map_or(Duration::ZERO, |net| net.delay(me, peer))
     }
+
+    fn arrives(&self) -> bool {
+        let (me, peer) = self.ends();
+        !self.connection.broken.get() && self.net.upgrade().is_some_and(|net| net.passes(me, peer))
+    }
 }
 
 /// The network as one process of the daemon has it.
@@ -741,11 +746,14 @@
     fn a_cut_host_is_silent_and_reset_when_it_is_back() {
         play(async |net| {
             let (mut mine, mut theirs) = pair(&net, NEAR).await;
+            assert!(theirs.arrives());
             net.cut(NEAR, true);
+            assert!(!theirs.arrives());
             theirs.write_all(b"lost").await.unwrap();
             let silent = tokio::time::timeout(Duration::from_secs(60), read(&mut *mine)).await;
             assert!(silent.is_err());
             net.cut(NEAR, false);
+            assert!(!theirs.arrives(), "it has lost something");
             assert_eq!(read(&mut *mine).await.unwrap_err().kind(), io::ErrorKind::ConnectionReset);
         });
     }
--- a/crates/micadrum-rehearsal/src/wire.rs
+++ b/crates/micadrum-rehearsal/src/wire.rs
@@ -17,6 +17,9 @@
 
     /// How long what is written now takes to the other side.
     fn delay(&self) -> std::time::Duration;
+
+    /// Whether what is written now comes to the other side at all, as far as can be known.
+    fn arrives(&self) -> bool;
 }
 
 /// Takes connections.
--- a/crates/micadrum-rehearsal/src/world/endpoints.rs
+++ b/crates/micadrum-rehearsal/src/world/endpoints.rs
@@ -226,7 +226,8 @@
         let now = world.now();
         let heard = now + with.delay().as_micros() as At;
         let ends: Vec<_> = self.ids.iter().cloned().zip(self.fate.ends.iter().copied()).collect();
-        let wait = self.fate.wait.map(|wait| now + wait);
+        // A wait that is told into a cut is told to nobody.
+        let wait = self.fate.wait.filter(|_| with.arrives()).map(|wait| now + wait);
         let out_until = with.ended_at().map_or(now, |ended| world.at(ended).min(now));
         world.saw(Seen::Replied { call: self.number, ends: ends.clone(), wait, heard, out_until });
         for (id, end) in ends {
--- a/tests/sockets/raw.rs
+++ b/tests/sockets/raw.rs
@@ -50,6 +50,24 @@
         timeout(PATIENCE, Http::read(&mut self.0)).await.expect("a request").expect("a whole request")
     }
 
+    /// Waits until all of a request with that body is there, and reads none of it.
+    pub async fn unread(&mut self, body: &str) {
+        let end = format!("\r\n\r\n{body}").into_bytes();
+        let mut bytes = vec![0; 4096];
+        let whole = async {
+            loop {
+                let count = self.0.peek(&mut bytes).await.unwrap();
+                assert!(count > 0, "the other side closed");
+                if bytes[..count].ends_with(&end) {
+                    return;
+                }
+                // What is there does not go away by a look: the next one is for more.
+                tokio::task::yield_now().await;
+            }
+        };
+        timeout(PATIENCE, whole).await.expect("a whole request");
+    }
+
     /// Reads so many bytes, no more.
     pub async fn bytes(&mut self, count: usize) {
         let mut bytes = vec![0; count];
