--- a/crates/micadrum-rehearsal/src/judge/beside.rs
+++ b/crates/micadrum-rehearsal/src/judge/beside.rs
@@ -1,12 +1,12 @@
 //! Calls that were out at once: of one message (`Beside`), of one key (`Order`).
-use super::{Judge, SEEN_TO_END, seconds};
+use super::{HELD_BACK, Judge, seconds};
 use crate::observation::At;
 
 impl Judge {
     /// Calls whose process ended, and of whose own end nothing has been heard since, were out until then.
     pub(super) fn look_at_orphans(&mut self, now: At) {
         while let Some((exited, call)) = self.orphans.front().copied()
-            && exited + SEEN_TO_END < now
+            && exited + HELD_BACK < now
         {
             self.orphans.pop_front();
             self.out_no_more(exited, call, exited);
--- a/crates/micadrum-rehearsal/src/judge/mod.rs
+++ b/crates/micadrum-rehearsal/src/judge/mod.rs
@@ -28,6 +28,9 @@
 const WATCHED: At = 60_000_000;
 /// The end of a process is seen within this of what it does to connections.
 const SEEN_TO_END: At = 1_000_000;
+/// What a sender did to a connection before its process ended may be held back on a link for so long; a call of which
+/// nothing is heard by then was out until the process ended.
+const HELD_BACK: At = 60_000_000;
 /// Breaks that are kept with their history; more are only counted.
 const MOST_KEPT: usize = 200;
 
--- a/crates/micadrum-rehearsal/src/world/endpoints.rs
+++ b/crates/micadrum-rehearsal/src/world/endpoints.rs
@@ -210,8 +210,10 @@
             }
             Next::Dead => {
                 let ends = self.ids.iter().map(|id| (id.clone(), MessageEnd::Spoilt)).collect();
-                let heard = world.now() + with.delay().as_micros() as At;
-                let out_until = world.now();
+                let now = world.now();
+                let heard = now + with.delay().as_micros() as At;
+                // The sender may have ended it before, with that still on its way.
+                let out_until = with.ended_at().map_or(now, |ended| world.at(ended).min(now));
                 world.saw(Seen::Replied { call: self.number, ends, wait: None, heard, out_until });
                 return None;
             }
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -219,6 +219,11 @@
         timeout(PATIENCE, self.notices.recv()).await.expect("a notice").unwrap()
     }
 
+    /// All notices from now on, as they come.
+    pub fn notices(&mut self) -> mpsc::UnboundedReceiver<Value> {
+        std::mem::replace(&mut self.notices, mpsc::unbounded_channel().1)
+    }
+
     /// Tells a change of the list.
     pub fn tell(&self, members: &[Value]) {
         self.changes.send(json!(members)).unwrap();
