--- a/src/daemon/asking.rs
+++ b/src/daemon/asking.rs
@@ -71,58 +71,69 @@
 /// Pauses that double with each failure up to a bound, drawn by chance: senders that fail together do not come back
 /// together.
 pub struct Asking {
+    spans: Spans,
+    failures: u32,
+    random: ChaCha8Rng,
+}
+
+/// What follows from the terms.
+struct Spans {
+    /// The agent answers at no cost, and what it has counts as told.
+    pushed: bool,
     first: Duration,
     doubled: Duration,
     longest: Duration,
     /// How long a call may take that is to be answered at once.
     at_once: Duration,
-    failures: u32,
-    random: ChaCha8Rng,
 }
 
-/// The first wait, the pause that is doubled, the longest one, and how long a call may take that is answered at once.
-fn pauses(terms: Terms) -> [Duration; 4] {
-    let senders = u32::try_from(terms.senders.clamp(1, MOST_SENDERS)).unwrap_or(1);
-    let within = |span: Duration, bound: Duration, share| match bound {
-        Duration::ZERO => span,
-        bound => span.min(bound.mul_f64(share)),
-    };
-    let must = terms.must_ask_in;
-    match terms.discovery {
-        Discovery::Pushed => {
-            let at_once = terms.grace.mul_f64(CALL_OF_GRACE).clamp(SHORTEST, PATIENCE);
-            [Duration::ZERO, AT_ONCE, terms.grace.mul_f64(PAUSE_OF_GRACE), at_once]
+impl Spans {
+    fn on(terms: Terms) -> Self {
+        let senders = u32::try_from(terms.senders.clamp(1, MOST_SENDERS)).unwrap_or(1);
+        let within = |span: Duration, bound: Duration, share| match bound {
+            Duration::ZERO => span,
+            bound => span.min(bound.mul_f64(share)),
+        };
+        let must = terms.must_ask_in;
+        match terms.discovery {
+            Discovery::Pushed => Self {
+                pushed: true,
+                first: Duration::ZERO,
+                doubled: AT_ONCE,
+                longest: terms.grace.mul_f64(PAUSE_OF_GRACE),
+                at_once: terms.grace.mul_f64(CALL_OF_GRACE).clamp(SHORTEST, PATIENCE),
+            },
+            Discovery::OnRequest => Self {
+                pushed: false,
+                first: within(SPREAD * senders, must, FIRST_OF_BOUND),
+                doubled: FIRST * senders,
+                longest: within(LONGEST * senders, must * AFTER_FAILURE, PAUSE_OF_BOUND),
+                at_once: PATIENCE_IN_LINE,
+            },
         }
-        Discovery::OnRequest => [
-            within(SPREAD * senders, must, FIRST_OF_BOUND),
-            FIRST * senders,
-            within(LONGEST * senders, must * AFTER_FAILURE, PAUSE_OF_BOUND),
-            PATIENCE_IN_LINE,
-        ],
     }
 }
 
 impl Asking {
     /// On those terms.
     pub fn new(terms: Terms, seed: u64) -> Self {
-        let [first, doubled, longest, at_once] = pauses(terms);
-        Self { first, doubled, longest, at_once, failures: 1, random: ChaCha8Rng::seed_from_u64(seed) }
+        Self { spans: Spans::on(terms), failures: 1, random: ChaCha8Rng::seed_from_u64(seed) }
     }
 
     /// On other terms, from the next call on.
     pub fn follow(&mut self, terms: Terms) {
-        [self.first, self.doubled, self.longest, self.at_once] = pauses(terms);
+        self.spans = Spans::on(terms);
     }
 
     /// How the next call is made; one for the whole list, with nothing `known`, is answered at once.
     pub fn call(&self, known: bool) -> Call {
-        let pushed = self.first.is_zero();
+        let Spans { pushed, at_once, .. } = self.spans;
         if known && (self.failures == 0 || !pushed) {
             return Call { hold: HOLD, patience: HOLD + PATIENCE, whole: HOLD + PATIENCE };
         }
         let (patience, whole) = match self.failures {
-            MANY.. => (self.at_once.max(PATIENCE), HOLD + PATIENCE),
-            _ => (self.at_once, self.at_once.max(PATIENCE)),
+            MANY.. => (at_once.max(PATIENCE), HOLD + PATIENCE),
+            _ => (at_once, at_once.max(PATIENCE)),
         };
         // One that waits for news is answered at its end at the latest.
         Call { hold: patience / 4, patience, whole }
@@ -130,7 +141,7 @@
 
     /// How long to wait before the first call, where a list is known that serves until then.
     pub fn first(&mut self) -> Duration {
-        self.first.mul_f64(self.chance())
+        self.spans.first.mul_f64(self.chance())
     }
 
     /// It was answered.
@@ -142,7 +153,9 @@
     pub fn failed(&mut self) -> Duration {
         let pause = match self.failures {
             0 => AT_ONCE,
-            failures => (self.doubled * (1 << (failures - 1).min(8))).min(self.longest).max(AT_ONCE),
+            failures => {
+                (self.spans.doubled * (1 << (failures - 1).min(8))).min(self.spans.longest).max(AT_ONCE)
+            }
         };
         self.failures = self.failures.saturating_add(1);
         pause.mul_f64(0.5 + self.chance())
@@ -257,6 +270,17 @@
         }
     }
 
+    /// Guards against going on by the terms of the start after a reload.
+    #[test]
+    fn other_terms_hold_from_the_next_call_on() {
+        let short = Terms { grace: Duration::from_millis(250), ..terms(3, Discovery::Pushed) };
+        let mut asking = Asking::new(terms(3, Discovery::Pushed), 1);
+        let before = asking.call(true);
+        asking.follow(short);
+        assert_eq!(asking.call(true), Asking::new(short, 1).call(true));
+        assert!(asking.call(true).patience < before.patience);
+    }
+
     /// Guards against an agent that is only slow and never gets to answer.
     #[test]
     fn an_agent_that_is_slow_for_long_is_given_time() {
--- a/src/daemon/host/mod.rs
+++ b/src/daemon/host/mod.rs
@@ -39,7 +39,7 @@
 pub use leaving::Legacy;
 use leaving::WindDown;
 use list::Endpoint;
-use operators::{CLASSES, idle_time, report_fields, retired_classes};
+use operators::{CLASSES, idle_time, report_fields, written_classes};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use std::collections::BTreeMap;
@@ -184,7 +184,7 @@
             None => Inheritance { memory: remembered, classes: Vec::new() },
         };
         let names = profile.names();
-        let retired = retired_classes(&*ports.storage).unwrap_or_else(|e| {
+        let retired = written_classes(&*ports.storage).unwrap_or_else(|e| {
             ports.log.line(&format!("{CLASSES}: {e}; messages of classes that have gone are tried once"));
             Vec::new()
         });
--- a/src/daemon/host/operators.rs
+++ b/src/daemon/host/operators.rs
@@ -24,7 +24,7 @@
 /// A picture of the figures serves all who ask within this.
 pub(super) const PICTURE: Duration = Duration::from_millis(100);
 
-pub(super) fn retired_classes(folder: &dyn Storage) -> Result<Vec<Named>, String> {
+pub(super) fn written_classes(folder: &dyn Storage) -> Result<Vec<Named>, String> {
     match folder.read(CLASSES).map_err(|e| e.to_string())? {
         Some(bytes) => serde_json::from_slice(&bytes).map_err(|e| e.to_string()),
         None => Ok(Vec::new()),
@@ -83,7 +83,7 @@
     /// Writes down what the classes mean, before anybody is served.
     pub(super) fn keep_classes(&mut self) {
         let storage = &*self.outside.ports.storage;
-        if retired_classes(storage).is_ok_and(|written| written == self.classes.named()) {
+        if written_classes(storage).is_ok_and(|written| written == self.classes.named()) {
             return;
         }
         if let Err(e) = replace(storage, CLASSES, NEW_CLASSES, &self.classes.named()) {
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -760,7 +760,7 @@
         assert_eq!(["a", "b", "c"].map(|id| store.was_over(id)), [false, false, true], "their time was up");
     }
 
-    /// Guards against losing count of a message's attempts where the disk takes no more records.
+    /// Guards against an attempt that counts, or goes out, though the disk took no record of it.
     #[test]
     fn an_unwritten_attempt_is_an_error_and_has_not_begun() {
         let folder = tempfile::tempdir().unwrap();
@@ -775,6 +775,25 @@
         assert_eq!(ids(&store), ["a"]);
     }
 
+    /// Guards against an attempt that was held back and counts in the next process, or that takes an earlier one with it as
+    /// the record of its begin is missing.
+    #[test]
+    fn an_attempt_that_was_held_back_never_was() {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut store, _) = open(folder.path());
+        let number = store.take_on(message("a", 10)).unwrap();
+        store.begin(number, attempt(5)).unwrap();
+        store.outcome(number, false).unwrap();
+        store.begin(number, attempt(6)).unwrap();
+        store.withheld(number).unwrap();
+        // Once more, of one whose begin was never written.
+        store.withheld(number).unwrap();
+        drop(store);
+        let (store, _) = open(folder.path());
+        let owed = store.get(number).unwrap();
+        assert_eq!((owed.attempts, &owed.ran, &owed.out), (1, &None, &None));
+    }
+
     /// A folder on a disk that others fill: it holds no more than so many bytes, if that is set.
     struct Shared {
         folder: Folder,
--- a/tests/sockets/operators.rs
+++ b/tests/sockets/operators.rs
@@ -130,6 +130,7 @@
         cut(&["settings", "lanes", "0", "hard_limit"], Some(json!("x"))),
         cut(&["settings", "limits", "max_attempts"], Some(json!(0))),
         cut(&["settings", "kinds"], Some(json!(["other"]))),
+        cut(&["settings", "specifics", "decay"], Some(json!("by_thirds"))),
     ];
     for (n, text) in texts.iter().enumerate() {
         node.reload_text(text);
@@ -167,3 +168,24 @@
     assert_eq!(call.id(), "new");
     call.ok();
 }
+
+/// Guards against a connection that is kept by the settings of the start, and met closed by the next call: endpoints close
+/// idle ones sooner since the reload.
+#[tokio::test]
+async fn connections_are_kept_for_as_long_as_the_new_settings_say() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    let mut connections = Vec::new();
+    for id in ["m1", "m2", "m3"] {
+        if id == "m3" {
+            node.reload_changed(|config| config["settings"]["limits"]["conn_idle"] = json!(1));
+            node.figures_where("taken", |figures| figures["reconfig_ok"] == 1).await;
+        }
+        assert_eq!(node.hand_in(id, "keyed", "").await.status(), 202);
+        let call = endpoint.call().await;
+        connections.push(call.connection);
+        call.ok();
+        node.figures_where("an end", |figures| figures["inflight"] == 0).await;
+    }
+    assert_eq!(connections, [0, 0, 1]);
+}
--- a/tests/sockets/watch.rs
+++ b/tests/sockets/watch.rs
@@ -152,8 +152,8 @@
     }
     let drains = json!({"revision": 2, "complete": false,
         "members": [member("s-1", endpoint.address, "single", "DRAINING")]});
-    // Far more blanks than letters.
-    let indented = serde_json::to_string_pretty(&drains).unwrap().replace("  ", &" ".repeat(2_000));
+    // Far more blanks than letters: over 2 MiB, as one of many endpoints is.
+    let indented = serde_json::to_string_pretty(&drains).unwrap().replace("  ", &" ".repeat(150_000));
     agent.call().await.reply(answer("200 OK", "", &indented));
     node.figures_where("the drain is heard", |figures| figures["hosts_down"] == 1).await;
     assert!(regular(&mut agent).await.http.first.contains("from=2&"));
