Handover: what either process is told on the way is followed; notices that hold up no others

The next process reads its configuration again once the place is its own, at each SIGHUP that the one before passes on over their link, and at its end; what reads as before counts as nothing. If the next one ends on the way, the process at work follows it. - A SIGTERM while the place is given to a next process that ends on the way: the process ended on the spot, over clients that had connected meanwhile ("an answer, not an end"). It winds down in good order, reckoned from the SIGTERM. - A notice that the platform answers with 400 went again for ever, and those in one call with it. A call that is turned away is divided until the notice stands alone; that one goes again by itself, after 0.1 to 10 s, the others are acknowledged (notices/owed.rs, no I/O, no clock).

Options weighed for the SIGHUP: the words of the handover with the text itself (the next may be of another version, and reads its file anyway); a bound on the wait for the next one's word (it may then serve beside this one: not taken).

--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -55,6 +55,11 @@
         Self { operator, secret, ..self }
     }
 
+    /// Whether both were read from the same text, and go with the same file of the operator's.
+    pub(super) fn reads_as(&self, other: &Self) -> bool {
+        (&self.text, &self.operator, self.secret) == (&other.text, &other.operator, other.secret)
+    }
+
     /// The keys that every later configuration has to hold. The list is no setting: it comes as it is.
     pub(super) fn shape(&self) -> Shape {
         let mut shape = Shape::of(&self.value());
--- a/src/daemon/handover.rs
+++ b/src/daemon/handover.rs
@@ -27,6 +27,8 @@
 const HELLO: &[u8; 19] = b"micadrum handover 2";
 /// What it says once the place is its own.
 const TAKEN: u8 = b'T';
+/// What the process before says to it from then on: it was told to read its configuration again.
+const RELOAD: u8 = b'R';
 /// A link that says nothing for so long at its start is none.
 const HELLO_PATIENCE: Duration = Duration::from_millis(500);
 /// The process at work settles within a second; the platform gives the next one 6 s to be ready.
@@ -60,6 +62,9 @@
 /// The link to the process whose place is taken.
 pub struct Predecessor(UnixStream);
 
+/// The same once its place is this one's, for as long as it runs.
+pub struct Follows(UnixStream);
+
 /// The link to the process that takes this one's place.
 pub struct Successor(UnixStream);
 
@@ -114,8 +119,24 @@
 
 impl Predecessor {
     /// From now on the place is this process's. One that has ended meanwhile need not hear it.
-    pub async fn taken(mut self) {
+    pub async fn taken(mut self) -> Follows {
         let _ = self.0.write_all(&[TAKEN]).await;
+        Follows(self.0)
+    }
+}
+
+impl Follows {
+    /// Has the configuration read again: now, as the process before may have been told to while it gave its place up, at
+    /// each such word that it passes on, and at its end, with which the last word may have been lost.
+    pub async fn reloads(mut self, reread: Rc<dyn Fn()>) {
+        reread();
+        let mut word = [0];
+        while self.0.read_exact(&mut word).await.is_ok() {
+            if word[0] == RELOAD {
+                reread();
+            }
+        }
+        reread();
     }
 }
 
@@ -143,6 +164,11 @@
         self.0.write_all(&bytes).await
     }
 
+    /// Passes on that this process was told to read its configuration again. One that has ended need not hear it.
+    pub async fn reload(&mut self) {
+        let _ = self.0.write_all(&[RELOAD]).await;
+    }
+
     /// Waits until the place is the other's; false if the other has ended instead.
     pub async fn taken(&mut self) -> bool {
         let mut word = [0];
--- a/src/daemon/host/leaving.rs
+++ b/src/daemon/host/leaving.rs
@@ -38,10 +38,10 @@
 }
 
 impl Host {
-    pub(super) fn wind_down(&mut self) {
+    /// Begins to wind down, as it was `told` to.
+    pub(super) fn wind_down(&mut self, told: Instant) {
         if self.winding_down.is_none() {
-            let now = Instant::now();
-            let wind_down = WindDown { quiet: now + STILL_COMING, end: now + WIND_DOWN };
+            let wind_down = WindDown { quiet: told + STILL_COMING, end: told + WIND_DOWN };
             self.winding_down = Some(wind_down);
             self.doors.set(Doors::Closing);
             self.pending.push((self.now(), Event::WindDown(self.clock.at(wind_down.end))));
@@ -64,7 +64,9 @@
             match input {
                 Input::Called(_) | Input::Noticed(_) | Input::Targets(_) => self.take_in(input),
                 Input::HandIn { .. } | Input::Connected { .. } | Input::Idle(..) | Input::Successor(_) => {}
-                Input::WindDown | Input::Reload(_) | Input::Operator(_) => left.push(input),
+                Input::WindDown(_) | Input::Reload(_) | Input::Reread(_) | Input::Operator(_) => {
+                    left.push(input);
+                }
                 // Of a file that this host has closed.
                 Input::Synced(..) => {}
             }
--- a/src/daemon/host/mod.rs
+++ b/src/daemon/host/mod.rs
@@ -369,8 +369,9 @@
                     self.pending.push((self.now(), Event::Noticed(MessageId(number))));
                 }
             }
-            Input::WindDown => self.wind_down(),
-            Input::Reload(config) => {
+            Input::WindDown(told) => self.wind_down(told),
+            Input::Reread(Ok(config)) if config.reads_as(&self.config) => {}
+            Input::Reload(config) | Input::Reread(config) => {
                 let done = config.and_then(|config| {
                     let told = self.reload(&config)?;
                     self.config = config.into();
--- a/src/daemon/input.rs
+++ b/src/daemon/input.rs
@@ -55,10 +55,12 @@
     Targets(Targets),
     /// Notices that the platform has acknowledged.
     Noticed(Vec<u32>),
-    /// The process is to end.
-    WindDown,
+    /// The process is to end; when it was told so.
+    WindDown(Instant),
     /// The configuration as it now reads, or why it cannot be read.
     Reload(Result<Box<Config>, String>),
+    /// The same, where it may read as before.
+    Reread(Result<Box<Config>, String>),
     /// A sync of the journal has ended: of which of its files, and how.
     Synced(u64, std::io::Result<()>),
     /// What an operator asks.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -50,7 +50,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
 use store::{Damage, Store, StoreError};
@@ -68,6 +68,8 @@
     WindDown,
     /// To follow the configuration as it now reads, or the word that it cannot be read: SIGHUP.
     Reload(Result<Box<Config>, String>),
+    /// To follow it if it reads otherwise than it did: a SIGHUP may have gone to the process whose place this one took.
+    Reread(Result<Box<Config>, String>),
 }
 
 /// Why a sender could not start.
@@ -155,13 +157,14 @@
     spawn_local(async move {
         while let Some(signal) = signals.recv().await {
             let _ = on_signal.send(match signal {
-                Signal::WindDown => Input::WindDown,
+                Signal::WindDown => Input::WindDown(Instant::now()),
                 Signal::Reload(config) => Input::Reload(config),
+                Signal::Reread(config) => Input::Reread(config),
             });
         }
     });
     let (mut predecessor, mut inheritance, mut adopted) = match &ports.handover {
-        Some(folder) => match handover::ask(folder).await? {
+        Some(succession) => match handover::ask(&succession.folder).await? {
             Some(Taken { predecessor, listener, inheritance }) => {
                 (Some(predecessor), Some(inheritance), Some(listener))
             }
@@ -213,7 +216,7 @@
         with_platform.spawn_local(watch);
         with_platform.spawn_local(notices::run(platform.clone(), queue, inputs.clone(), ports.clone()));
         // Only now: a sender that can be reached has taken up what it owes.
-        let Place { listener, mut server } = match place.take() {
+        let Place { listener, server } = match place.take() {
             Some(place) => place,
             None => {
                 let (listener, at) = listen(&ports, config.listen, adopted.take()).await?;
@@ -221,8 +224,8 @@
                 let listener = Rc::<dyn Listener>::from(listener);
                 let server =
                     server::serve(listener.clone(), at, inputs.clone(), doors.clone(), budget, &ports);
-                if let Some(folder) = ports.handover.clone() {
-                    let host = inputs.clone();
+                if let Some(succession) = &ports.handover {
+                    let (folder, host) = (succession.folder.clone(), inputs.clone());
                     let asked = move |successor| drop(host.send(Input::Successor(successor)));
                     spawn_local(handover::listen(folder, asked, ports.log.clone()));
                 }
@@ -232,9 +235,10 @@
         if returning.is_open() {
             doors.set(Doors::Open);
         }
-        if let Some(predecessor) = predecessor.take() {
+        if let (Some(predecessor), Some(succession)) = (predecessor.take(), &ports.handover) {
             ports.log.line("took the place of the process before");
-            predecessor.taken().await;
+            let follows = predecessor.taken().await;
+            spawn_local(follows.reloads(succession.reread.clone()));
         }
         let Some(legacy) = host.run(&mut from_all).await else {
             if let Some(peers) = peers {
@@ -247,27 +251,46 @@
         };
         drop(with_platform);
         let Legacy { mut successor, inheritance: left, config: followed, figures: last } = legacy;
-        let given = async {
-            let gave = successor.give(&*listener, &left).await;
-            if let Err(e) = &gave {
-                ports.log.line(&format!("handover: {e}"));
+        // What this process is told meanwhile: whoever has the place at the end is to follow it.
+        let (mut reload, mut wind_down) = (None, None);
+        let taken = {
+            let mut given = pin!(async {
+                let gave = successor.give(&*listener, &left).await;
+                if let Err(e) = &gave {
+                    ports.log.line(&format!("handover: {e}"));
+                }
+                gave.is_ok() && successor.taken().await
+            });
+            loop {
+                match stand_by(&mut from_all, &last, given.as_mut()).await {
+                    Stood::Done(taken) => break taken,
+                    Stood::Told(told @ Input::WindDown(_)) => wind_down = wind_down.or(Some(told)),
+                    Stood::Told(told) => reload = Some(told),
+                }
             }
-            gave.is_ok() && successor.taken().await
         };
-        let (taken, wound_down) = stand_by(&mut from_all, &last, given).await;
         if taken {
             ports.log.line("the next process took this one's place");
             // It speaks for this sender from now on, at the same address.
             drop(peers);
             doors.set(Doors::Given);
+            if reload.is_some() {
+                successor.reload().await;
+            }
             // Until the last client that is still here has been passed on.
-            let _ = stand_by(&mut from_all, &last, &mut server).await;
-            return Ok(());
-        }
-        if wound_down {
-            return Ok(());
+            let mut server = pin!(server);
+            loop {
+                match stand_by(&mut from_all, &last, server.as_mut()).await {
+                    Stood::Done(_) => return Ok(()),
+                    Stood::Told(Input::WindDown(_)) => {}
+                    Stood::Told(_) => successor.reload().await,
+                }
+            }
         }
         ports.log.line("the next process ended on the way: this one goes on");
+        for input in reload.into_iter().chain(wind_down) {
+            let _ = inputs.send(input);
+        }
         figures = (*last).clone();
         (config, inheritance, place) = (followed, Some(left), Some(Place { listener, server }));
     }
@@ -313,24 +336,30 @@
     listening.map_err(|source| StartError::Listen { address, source })
 }
 
+/// What ended a time of standing by.
+enum Stood<T> {
+    /// What was waited for.
+    Done(T),
+    /// A word to this process: to wind down, or of another configuration.
+    Told(Input),
+}
+
 /// Waits for something while the next process has this one's place or is taking it. Operators hear how it stood when it
-/// was given; whoever asks for more hears that nobody is at work here. Whether this one was told to wind down.
+/// was given; whoever asks for more hears that nobody is at work here.
 async fn stand_by<T>(
     inputs: &mut UnboundedReceiver<Input>,
     figures: &Rc<Figures>,
-    until: impl Future<Output = T>,
-) -> (T, bool) {
-    let mut until = pin!(until);
-    let mut wound_down = false;
+    mut until: Pin<&mut impl Future<Output = T>>,
+) -> Stood<T> {
     loop {
         tokio::select! {
             biased;
-            done = &mut until => return (done, wound_down),
+            done = &mut until => return Stood::Done(done),
             input = inputs.recv() => match input {
                 Some(Input::Operator(Ask::Figures(answer))) => drop(answer.send(figures.clone())),
-                Some(Input::WindDown) => wound_down = true,
+                Some(told @ (Input::WindDown(_) | Input::Reload(_) | Input::Reread(_))) => return Stood::Told(told),
                 Some(_) => {}
-                None => return (until.await, wound_down),
+                None => return Stood::Done(until.await),
             },
         }
     }
--- a/src/daemon/notices.rs
+++ b/src/daemon/notices/mod.rs
@@ -1,4 +1,6 @@
-//! Notices to the platform: how messages ended that were taken on and not delivered.
+//! Notices to the platform: how messages ended that were taken on and not delivered. What goes when is decided in [`owed`].
+mod owed;
+
 use super::connection::{CallError, Connection, request};
 use super::input::Input;
 use super::latest::Latest;
@@ -7,18 +9,17 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{Method, StatusCode};
+use owed::{MOST_LINES, Owed};
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// The platform answers at once: past this it is asked again on a new connection.
 const PATIENCE: Duration = Duration::from_millis(500);
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(50);
-/// Notices in one call, which keeps its body under 64 KiB.
-const MOST_LINES: usize = 256;
 
 /// The end of one message.
 pub struct Notice {
@@ -54,18 +55,32 @@
     host: UnboundedSender<Input>,
     ports: Ports,
 ) {
-    let mut owed = Vec::new();
+    let mut owed = Owed::default();
     let mut connection = None;
     let mut reached = platforms.get();
     loop {
-        if owed.is_empty() && queue.recv_many(&mut owed, MOST_LINES).await == 0 {
-            return;
-        }
-        while owed.len() < MOST_LINES
+        let mut new = Vec::new();
+        while new.len() < owed.room()
             && let Ok(notice) = queue.try_recv()
         {
-            owed.push(notice);
+            new.push(notice);
         }
+        owed.add(new);
+        let Some(batch) = owed.next(Instant::now()) else {
+            let due = owed.due();
+            let mut new = Vec::new();
+            tokio::select! {
+                biased;
+                () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {}
+                // What is due still is this task's to send, also once nobody brings more.
+                taken = queue.recv_many(&mut new, MOST_LINES) => match due {
+                    None if taken == 0 => return,
+                    Some(due) if taken == 0 => sleep_until(due).await,
+                    _ => owed.add(new),
+                },
+            }
+            continue;
+        };
         let platform = platforms.get();
         if std::mem::replace(&mut reached, platform) != platform {
             connection = None;
@@ -73,17 +88,25 @@
         let sent = tokio::select! {
             biased;
             () = platforms.wait_for(|address| address != platform) => Ok(Err(NoticeError::Moved)),
-            sent = timeout(PATIENCE, post(&*ports.network, platform, &owed, &mut connection)) => sent,
+            sent = timeout(PATIENCE, post(&*ports.network, platform, &batch.notices, &mut connection)) => sent,
         };
         match sent.unwrap_or(Err(NoticeError::Silent)) {
             Ok(()) => {
-                let numbers = owed.drain(..).map(|n| n.number).collect();
+                let numbers = batch.notices.iter().map(|n| n.number).collect();
                 if host.send(Input::Noticed(numbers)).is_err() {
                     return;
                 }
             }
+            Err(NoticeError::Status(StatusCode::BAD_REQUEST)) => {
+                if let Some(id) = owed.turned_away(batch, Instant::now()) {
+                    let what = "the platform cannot read it (status 400)";
+                    ports.log.line(&format!("notices: the end of {id:?}: {what}; it goes again by itself"));
+                }
+                sleep(PAUSE).await;
+            }
             Err(e) => {
-                ports.log.line(&format!("notices: {e}; {} go again", owed.len()));
+                ports.log.line(&format!("notices: {e}; {} go again", batch.notices.len()));
+                owed.again(batch);
                 connection = None;
                 sleep(PAUSE).await;
             }
@@ -118,11 +141,9 @@
     };
     let answer =
         connection.send(request(Method::POST, "/v1/notices", platform), lines(notices), None).await?;
-    if answer.status() != StatusCode::NO_CONTENT {
-        return Err(NoticeError::Status(answer.status()));
-    }
+    let status = answer.status();
     if answer.into_body().collect().await.is_ok() {
         *kept = Some(connection);
     }
-    Ok(())
+    if status == StatusCode::NO_CONTENT { Ok(()) } else { Err(NoticeError::Status(status)) }
 }
--- a/src/daemon/ports.rs
+++ b/src/daemon/ports.rs
@@ -176,8 +176,8 @@
     pub storage: Rc<dyn Storage>,
     /// The log.
     pub log: Rc<dyn Log>,
-    /// The folder in which processes of one sender find each other, where they can.
-    pub handover: Option<PathBuf>,
+    /// How processes of one sender follow each other, where they can.
+    pub handover: Option<Succession>,
     /// What is to be told of in the log beside what people read.
     pub traces: Traces,
     /// Which run of the machine this is; none where it does not say, or nobody asks.
@@ -186,6 +186,16 @@
     pub entropy: [u8; 32],
 }
 
+/// How processes of one sender follow each other on one machine.
+#[derive(Clone)]
+pub struct Succession {
+    /// The folder in which they find each other.
+    pub folder: PathBuf,
+    /// Has the configuration read again, which [`super::Signal::Reread`] then brings: whoever told the process before to
+    /// read it told this one.
+    pub reread: Rc<dyn Fn()>,
+}
+
 /// What is told of in the log for programs to count.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Traces {
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 use clap::Parser;
 use command::What;
 use micadrum::daemon::config::Config;
-use micadrum::daemon::ports::{Ports, Traces};
+use micadrum::daemon::ports::{Ports, Succession, Traces};
 use micadrum::daemon::system::{Folder, StandardError, SystemClock, Tcp};
 use micadrum::daemon::{self, Signal};
 use micadrum_operator::Operator;
@@ -98,23 +98,31 @@
         let text = std::fs::read_to_string(&recovery.boot_id);
         text.ok().and_then(|text| Boot::parse(&text))
     });
+    let (reread, mut rereads) = unbounded_channel();
     let ports = Ports {
         wall: Rc::new(SystemClock),
         network: Rc::new(Tcp),
         storage: Rc::new(Folder(variable("PROXY_STATE")?)),
         log: Rc::new(StandardError),
-        handover: Some(variable("PROXY_STATE")?),
+        handover: Some(Succession {
+            folder: variable("PROXY_STATE")?,
+            reread: Rc::new(move || {
+                let _ = reread.send(());
+            }),
+        }),
         traces: Traces::named(&std::env::var("MICADRUM_TRACE").unwrap_or_default()),
         boot,
         entropy,
     };
     let (to_daemon, signals) = unbounded_channel();
+    let read = || self::config().map(Box::new).map_err(|e| e.to_string());
     spawn_local(async move {
         loop {
             let signal = tokio::select! {
                 _ = terminated.recv() => Signal::WindDown,
                 _ = interrupted.recv() => Signal::WindDown,
-                _ = reloads.recv() => Signal::Reload(self::config().map(Box::new).map_err(|e| e.to_string())),
+                _ = reloads.recv() => Signal::Reload(read()),
+                Some(()) = rereads.recv() => Signal::Reread(read()),
             };
             if to_daemon.send(signal).is_err() {
                 return;
--- a/tests/sockets/generated.rs
+++ b/tests/sockets/generated.rs
@@ -1,6 +1,7 @@
 //! Days drawn from a seed against the real process: a client, an agent and two endpoints whose connections are cut, reset,
-//! held back and silent at drawn bytes, and signals and changes of the list that come after drawn happenings. Judged by
-//! `ledger`; what it says of a broken rule names the seed.
+//! held back and silent at drawn bytes; signals, next processes and changes of the list that come after drawn happenings; an
+//! agent that falls silent, a watch that breaks, a platform that acknowledges nothing for a while. Judged by `ledger`; what
+//! it says of a broken rule names the seed.
 //!
 //! Some seeds are played with all tests. More of them: `MICADRUM_SEEDS=1..500 cargo test --test sockets generated`.
 use super::ledger::{Ledger, Told};
@@ -12,6 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -145,7 +147,7 @@
     );
     let Ok(stream) = TcpStream::connect(to).await else { return };
     let mut client = Client(stream);
-    day.ledger.borrow_mut().handed_in(id, class, key);
+    day.ledger.borrow_mut().handed_in(id, class, key, REMAINING);
     // Some go in the midst of it, and hear nothing.
     let cut =
         if day.dice.below(10) == 0 { day.dice.below(text.len() as u32 + 1) as usize } else { text.len() };
@@ -194,7 +196,7 @@
     let mut n = 0;
     let mut clients = JoinSet::new();
     for _ in 0..12 {
-        match day.dice.below(10) {
+        match day.dice.below(14) {
             0..5 => {
                 for _ in 0..=day.dice.below(4) {
                     let class = ["unsafe", "keyed", "ordered", "ordered"][day.dice.below(4) as usize];
@@ -217,6 +219,29 @@
             }
             7 => node.reload(&platform),
             8 => {
+                // What is told once the agent is back counts at once.
+                platform.silent(true);
+                let _ = timeout(HAPPENS, day.happened.notified()).await;
+                let out = day.dice.below(2) as usize;
+                let mut phases = ["SERVING"; 2];
+                phases[out] = "DRAINING";
+                platform.tell(&list(phases));
+                platform.silent(false);
+                day.ledger.borrow_mut().listed(phases.map(|phase| phase == "SERVING"));
+            }
+            9 => platform.cut(),
+            10 => {
+                // A notice that is owed meanwhile goes again.
+                platform.deaf.store(true, Ordering::SeqCst);
+                let _ = timeout(HAPPENS, day.happened.notified()).await;
+                platform.deaf.store(false, Ordering::SeqCst);
+                day.ledger.borrow_mut().excused();
+            }
+            11 => {
+                let mut old = node.replace().await;
+                assert!(old.ends_well().await, "seed {seed}: the process before did not end in good order");
+            }
+            12 => {
                 node.terminate();
                 let (of, to, id) = (day.clone(), node.address, format!("m{n}"));
                 n += 1;
@@ -258,6 +283,7 @@
     while clients.join_next().await.is_some() {}
     day.ledger.borrow_mut().restarted();
     node.begin().await;
+    day.ledger.borrow_mut().excused();
 }
 
 /// Plays days side by side, so many at once; what is wrong with them.
--- a/tests/sockets/handover.rs
+++ b/tests/sockets/handover.rs
@@ -1,4 +1,5 @@
 //! A next process that takes the place of the one at work.
+use super::raw::Client;
 use super::world::*;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -155,3 +156,115 @@
     assert!(told.elapsed() >= Duration::from_secs(3), "after {:?}", told.elapsed());
     call.ok();
 }
+
+/// A next process that the test stands for: it has been given the place, and has not said that it took it.
+async fn given(node: &Node) -> UnixStream {
+    let socket = node.journal().with_file_name("handover.sock");
+    while !socket.exists() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let mut next = UnixStream::connect(&socket).await.unwrap();
+    next.write_all(b"micadrum handover 2").await.unwrap();
+    timeout(PATIENCE, next.read_exact(&mut [0; 8])).await.expect("a place that is given").unwrap();
+    next
+}
+
+/// Guards against settings that nobody follows: the process was told of them while it gave its place, and the next one
+/// ended on the way.
+#[tokio::test]
+async fn a_sighup_while_the_place_is_given_in_vain_is_followed() {
+    let (endpoint, mut other) = (Peer::start().await, Peer::start().await);
+    let platform = Platform::start().await;
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    let next = given(&node).await;
+    node.reload(&Platform::at(other.address));
+    // By now it has heard it; if not, it hears it at work.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    drop(next);
+    let call = other.call().await;
+    assert!(call.http.first.starts_with("GET /api/targets"), "{}", call.http.first);
+    node.figures_where("the file was taken", |figures| figures["reconfig_ok"] == 1).await;
+}
+
+/// Guards against clients whose process ends under them: it was told to wind down while it gave its place, and the next
+/// one ended on the way.
+#[tokio::test]
+async fn a_sigterm_while_the_place_is_given_in_vain_is_an_end_in_good_order() {
+    let (endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    let next = given(&node).await;
+    let told = Instant::now();
+    node.terminate();
+    let mut client = Client::connect(node.address).await;
+    client.say(&Client::text("m1", "keyed", "")).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    drop(next);
+    let said = client.answer().await.expect("an answer, not an end");
+    assert!([202, 503].contains(&said.status()), "{}", said.first);
+    drop(client);
+    assert!(node.ends_well().await);
+    assert!(told.elapsed() < Duration::from_millis(3_700), "killed by then: {:?}", told.elapsed());
+}
+
+/// How many connections a Unix socket has, besides the one that listens.
+fn connections(socket: &std::path::Path) -> usize {
+    let all = std::fs::read_to_string("/proc/net/unix").unwrap();
+    all.lines().filter(|line| line.ends_with(socket.to_str().unwrap())).count().saturating_sub(1)
+}
+
+/// Guards against a next process that stays with the settings of its start: it had read them, and the one at work was told
+/// of others while it settled, or later, until it ended.
+#[tokio::test]
+async fn a_sighup_to_the_process_that_gives_its_place_is_followed_by_the_next() {
+    for settled in [false, true] {
+        let (mut endpoint, mut other) = (Peer::start().await, Peer::start().await);
+        let platform = Platform::start().await;
+        let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+        let (pid, socket) = (node.id(), node.journal().with_file_name("handover.sock"));
+        // A client that stays keeps the old process, and a call that is out lets it settle for a second.
+        let mut at_rest = TcpStream::connect(node.address).await.unwrap();
+        at_rest.write_all(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+        assert_eq!(Http::read(&mut at_rest).await.unwrap().status(), 200);
+        assert_eq!(node.hand_in("slow", "keyed", "").await.status(), 202);
+        let out = endpoint.call().await;
+        let mut config = node.config();
+        config["discovery"] = serde_json::json!(other.address.to_string());
+        let file = node.lasting("config.json");
+        let hang_up = || {
+            std::fs::write(&file, config.to_string()).unwrap();
+            let sent = std::process::Command::new("sh").args(["-c", &format!("kill -HUP {pid}")]).status();
+            assert!(sent.unwrap().success());
+        };
+        let while_it_settles = async {
+            while connections(&socket) == 0 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            if !settled {
+                hang_up();
+            }
+        };
+        let (mut old, ()) = tokio::join!(node.replace(), while_it_settles);
+        if settled {
+            hang_up();
+        }
+        let call = timeout(PATIENCE, async {
+            loop {
+                let call = other.call().await;
+                if call.http.first.starts_with("GET /api/targets") {
+                    return call;
+                }
+            }
+        });
+        // The old one may have come there as well, before it gave its place.
+        let first = call.await.expect("the watch comes to the new address");
+        node.figures_where("taken once", |figures| figures["reconfig_ok"] == 1).await;
+        drop((first, out, at_rest));
+        assert!(old.ends_well().await);
+        // At the end of the old process the file is as it was read.
+        let call = endpoint.call().await;
+        assert_eq!(call.id(), "slow");
+        call.ok();
+        let figures = node.figures_where("delivered", |f| f["calls"]["keyed"]["success"] == 1).await;
+        assert_eq!(figures["reconfig_ok"], 1);
+    }
+}
--- a/tests/sockets/ledger.rs
+++ b/tests/sockets/ledger.rs
@@ -16,6 +16,11 @@
 /// The grace of a drain, and until a change of the list counts as heard by a process that has begun anew meanwhile.
 const GRACE: Duration = Duration::from_secs(1);
 
+/// How long after its time is up a message may still end, with what a busy machine takes besides.
+const LATE: Duration = Duration::from_millis(300 + 700);
+/// For so long after a process is ready again no notice is overdue.
+const AFTER_READY: Duration = Duration::from_millis(1_500);
+
 /// How a call ended, as its endpoint told it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Told {
@@ -36,6 +41,8 @@
 struct Message {
     class: &'static str,
     key: String,
+    /// When its time is up.
+    due: Instant,
     /// What the client heard; none while it has heard nothing.
     status: Option<u16>,
     /// Its place among those that were taken on.
@@ -57,6 +64,8 @@
     wait: Option<(Instant, Instant)>,
     /// When an endpoint was told to be draining.
     drains: [Option<Instant>; 2],
+    /// Until then nothing is overdue.
+    excused: Option<Instant>,
     wrong: Vec<String>,
 }
 
@@ -79,10 +88,11 @@
         self.wrong.push(format!("{rule}: {id}: {what} [{history}]"));
     }
 
-    pub fn handed_in(&mut self, id: &str, class: &'static str, key: &str) {
+    pub fn handed_in(&mut self, id: &str, class: &'static str, key: &str, remaining: Duration) {
         let message = Message {
             class,
             key: key.to_owned(),
+            due: Instant::now() + remaining,
             status: None,
             taken: None,
             calls: Vec::new(),
@@ -168,6 +178,7 @@
         // A sender that has gone hears nothing of it.
         let hears = is_open(&message.calls[call]);
         message.may_have_run |= !matches!(told, Told::Wait(_) | Told::Refused) || !hears;
+        let first = told == Told::Delivered && hears && Self::is_owed(message);
         message.delivered |= told == Told::Delivered && hears;
         message.calls[call].open = false;
         if let Told::Wait(wait) = told
@@ -177,6 +188,23 @@
             let until = self.wait.map_or(now + wait, |(_, until)| until.max(now + wait));
             self.wait = Some((now, until));
         }
+        if first {
+            self.over(id);
+        }
+    }
+
+    /// A message that was taken on has its end.
+    fn over(&mut self, id: &str) {
+        let now = Instant::now();
+        let late = self.messages.get(id).is_some_and(|message| now > message.due + LATE);
+        if late && self.excused.is_none_or(|until| now > until) {
+            self.broke("Lost", id, "its end came too late");
+        }
+    }
+
+    /// A process is ready again, or the platform hears notices again.
+    pub fn excused(&mut self) {
+        self.excused = Some(Instant::now() + AFTER_READY);
     }
 
     /// A restart ends a wait.
@@ -206,10 +234,14 @@
         let Some(message) = self.messages.get_mut(&id) else {
             return self.broke("SentAfterEnd", &id, "a notice of what nobody handed in");
         };
+        let first = Self::is_owed(message);
         message.noticed = true;
         if notice["state"] == "returned" && message.class == "unsafe" && message.may_have_run {
             self.broke("Doubled", &id, "returned though it may have run");
         }
+        if first {
+            self.over(&id);
+        }
     }
 
     fn is_owed(message: &Message) -> bool {
@@ -246,7 +278,7 @@
     }
 
     fn taken(ledger: &mut Ledger, id: &str, class: &'static str) {
-        ledger.handed_in(id, class, "k");
+        ledger.handed_in(id, class, "k", Duration::from_secs(5));
         ledger.heard(id, Some(202));
     }
 
@@ -274,7 +306,7 @@
         taken(&mut ledger, "c", "ordered");
         ledger.began("c", "s-1", &theirs);
         broken(&mut ledger, "Order");
-        ledger.handed_in("d", "keyed", "");
+        ledger.handed_in("d", "keyed", "", Duration::from_secs(5));
         ledger.heard("d", Some(503));
         ledger.began("d", "s-1", &theirs);
         broken(&mut ledger, "SentAfterEnd");
@@ -288,6 +320,14 @@
         ledger.began("f", "s-2", &theirs);
         broken(&mut ledger, "Wait");
         assert_eq!(ledger.open().len(), 4, "what is owed is told");
+        // An end after its time, and one that a restart excuses.
+        ledger.messages.get_mut("e").unwrap().due = past;
+        ledger.messages.get_mut("f").unwrap().due = past;
+        ledger.noticed(&json!({"id": "e", "state": "failed"}));
+        broken(&mut ledger, "Lost");
+        ledger.excused();
+        ledger.noticed(&json!({"id": "f", "state": "failed"}));
+        assert_eq!(ledger.verdict(), [""; 0]);
         // One that the other side has closed is out no more.
         let call = Call { socket: theirs.as_fd().try_clone_to_owned().unwrap(), open: true };
         assert!(is_open(&call));
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -7,6 +7,7 @@
 mod handover;
 mod ledger;
 mod memory;
+mod notices;
 mod operators;
 mod peers;
 mod raw;
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -146,11 +146,21 @@
     after.split(['&', ' ']).next()?.parse().ok()
 }
 
+/// What the agent is to do.
+enum Word {
+    /// The list changes.
+    Change(Value),
+    /// The watch that is open breaks.
+    Cut,
+    /// It answers no watch, or does again.
+    Silent(bool),
+}
+
 /// Discovery's agent and the platform that takes notices.
 pub struct Platform {
     pub address: SocketAddr,
     notices: mpsc::UnboundedReceiver<Value>,
-    changes: mpsc::UnboundedSender<Value>,
+    words: mpsc::UnboundedSender<Word>,
     /// While set, notices are read and not acknowledged.
     pub deaf: Arc<AtomicBool>,
 }
@@ -158,26 +168,29 @@
 impl Platform {
     /// A peer that the test answers for itself.
     pub fn at(address: SocketAddr) -> Self {
-        let ((_, notices), (changes, _)) = (mpsc::unbounded_channel(), mpsc::unbounded_channel());
-        Self { address, notices, changes, deaf: Arc::default() }
+        let ((_, notices), (words, _)) = (mpsc::unbounded_channel(), mpsc::unbounded_channel());
+        Self { address, notices, words, deaf: Arc::default() }
     }
 
     pub async fn start() -> Self {
         let mut peer = Peer::start().await;
         let address = peer.address;
         let (noticed, notices) = mpsc::unbounded_channel();
-        let (changes, mut to_tell) = mpsc::unbounded_channel::<Value>();
+        let (words, mut told_to) = mpsc::unbounded_channel::<Word>();
         let deaf = Arc::new(AtomicBool::new(false));
         let is_deaf = deaf.clone();
         tokio::spawn(async move {
             let mut watch: Option<(Call, tokio::time::Instant)> = None;
             // The last change that was told, and its revision: the configuration's list is the first.
             let (mut revision, mut told) = (1, None::<Value>);
+            let mut silent = false;
             loop {
-                let end = watch.as_ref().map(|(_, end)| *end);
+                let end = watch.as_ref().filter(|_| !silent).map(|(_, end)| *end);
                 tokio::select! {
-                    change = to_tell.recv() => match change {
-                        Some(change) => (revision, told) = (revision + 1, Some(change)),
+                    word = told_to.recv() => match word {
+                        Some(Word::Change(change)) => (revision, told) = (revision + 1, Some(change)),
+                        Some(Word::Cut) => watch = None,
+                        Some(Word::Silent(from_now_on)) => silent = from_now_on,
                         None => return,
                     },
                     call = peer.calls.recv() => {
@@ -201,7 +214,7 @@
                         call.reply(answer("200 OK", "", &list.to_string()));
                     }
                 }
-                let Some(change) = &told else { continue };
+                let Some(change) = told.as_ref().filter(|_| !silent) else { continue };
                 if let Some((call, _)) =
                     watch.take_if(|(call, _)| asked(call, "from=").is_none_or(|from| from < revision))
                 {
@@ -212,7 +225,7 @@
                 }
             }
         });
-        Self { address, notices, changes, deaf }
+        Self { address, notices, words, deaf }
     }
 
     pub async fn notice(&mut self) -> Value {
@@ -226,7 +239,21 @@
 
     /// Tells a change of the list.
     pub fn tell(&self, members: &[Value]) {
-        self.changes.send(json!(members)).unwrap();
+        self.send(Word::Change(json!(members)));
+    }
+
+    /// Breaks the watch that is open.
+    pub fn cut(&self) {
+        self.send(Word::Cut);
+    }
+
+    /// From now on no watch is answered, or it is again.
+    pub fn silent(&self, silent: bool) {
+        self.send(Word::Silent(silent));
+    }
+
+    fn send(&self, word: Word) {
+        assert!(self.words.send(word).is_ok(), "the agent has ended");
     }
 }
 
