A lock on the folder: a process that starts beside one that begins or ends waits for it

Ruled out: the test's own order (begin returns at 'listening on', which clients and the platform's front see as well).

Cause: handover.rs, ask, took a socket that is not there for nobody at work, and nothing else guarded the folder (open in the roadmap). Mend: daemon/lock.rs, flock on the empty file 'lock' in the folder, held until the process ends, however that is; it goes to the next process with the listening socket (a second descriptor, which a process of an earlier version leaves unread). Who starts and finds it held asks again until there is somebody to ask, up to 5 s; then it ends with one line and code 1, and has changed nothing. A folder that takes no lock costs a log line.

Options: an exclusive open (stays after a kill), the process's number in a file (numbers come again), a lock that is asked for anew by the next one (a moment in which nobody holds it).

Tests: a folder held by nobody who can be asked; two processes started at one instant.

--- a/src/daemon/handover.rs
+++ b/src/daemon/handover.rs
@@ -4,6 +4,7 @@
 //! The next process asks. The one at work settles, closes the journal, and gives what it has. Until the other says
 //! that it has taken it, the place is still its own: if the link ends first, the other has ended, and it goes on.
 use super::classes::Named;
+use super::lock::{Lock, Lockable};
 use super::memory::Memory;
 use super::ports::{Listener, Log};
 use rustix::net::{
@@ -13,13 +14,13 @@
 use serde::{Deserialize, Serialize};
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
-use std::os::fd::OwnedFd;
+use std::os::fd::{AsFd, OwnedFd};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// The socket's name in the folder that lasts.
 const NAME: &str = "handover.sock";
@@ -29,6 +30,8 @@
 const TAKEN: u8 = b'T';
 /// What the process before says to it from then on: it was told to read its configuration again.
 const RELOAD: u8 = b'R';
+/// Between two looks at a process that is about to begin or to end.
+const LOOK: Duration = Duration::from_millis(20);
 /// A link that says nothing for so long at its start is none.
 const HELLO_PATIENCE: Duration = Duration::from_millis(500);
 /// The process at work settles within a second; the platform gives the next one 6 s to be ready.
@@ -51,6 +54,9 @@
     /// The process at work did not give it.
     #[error("the process at work did not give up its place within 5 s")]
     Late,
+    /// One holds the folder, and cannot be asked.
+    #[error("another process is at work in this folder, and did not answer within 5 s")]
+    Held,
     /// The link broke.
     #[error("the link to the process at work: {0}")]
     Link(#[from] io::Error),
@@ -74,47 +80,90 @@
     pub predecessor: Predecessor,
     /// The listening socket.
     pub listener: OwnedFd,
+    /// The lock on the folder; none from a process that had none, or of a version that keeps it.
+    pub lock: Option<Lock>,
     /// And the rest.
     pub inheritance: Inheritance,
 }
 
-/// Asks for the place of the process at work in that folder; none if there is none.
+/// How a process comes to its place.
+pub enum Entry {
+    /// Nobody is at work in the folder; none where it takes no lock.
+    Alone(Option<Lock>),
+    /// From the process at work, and the lock once that has ended.
+    From(Taken, Option<Lockable>),
+}
+
+/// Takes the place of the process at work in that folder, or begins alone if there is none. One that is about to begin or
+/// to end is waited for.
 ///
 /// # Errors
 /// One is at work, and does not give its place up.
-pub async fn ask(folder: &Path) -> Result<Option<Taken>, HandoverError> {
+pub async fn enter(folder: &Path, log: &dyn Log) -> Result<Entry, HandoverError> {
+    let mut file = Lockable::in_folder(folder).map_err(|e| unlocked(&e, log)).ok();
+    let late = Instant::now() + PATIENCE;
+    loop {
+        if let Some(taken) = ask(folder).await? {
+            return Ok(Entry::From(taken, file));
+        }
+        let Some(free) = file else { return Ok(Entry::Alone(None)) };
+        match free.lock() {
+            Ok(Ok(lock)) => return Ok(Entry::Alone(Some(lock))),
+            Ok(Err(held)) => file = Some(held),
+            Err(e) => {
+                unlocked(&e, log);
+                return Ok(Entry::Alone(None));
+            }
+        }
+        if Instant::now() >= late {
+            return Err(HandoverError::Held);
+        }
+        sleep(LOOK).await;
+    }
+}
+
+/// A folder that cannot be locked costs only this.
+fn unlocked(error: &io::Error, log: &dyn Log) {
+    log.line(&format!("no lock guards the folder against a second process: {error}"));
+}
+
+/// Asks for the place of the process at work in that folder; none if there is none.
+async fn ask(folder: &Path) -> Result<Option<Taken>, HandoverError> {
     // A socket that nobody listens at was left by a process that ended.
     let Ok(mut stream) = UnixStream::connect(folder.join(NAME)).await else { return Ok(None) };
     stream.write_all(HELLO).await?;
     let given = timeout(PATIENCE, receive(&mut stream)).await.map_err(|_| HandoverError::Late)?;
-    let (listener, inheritance) = given?;
-    Ok(Some(Taken { predecessor: Predecessor(stream), listener, inheritance }))
+    let (listener, lock, inheritance) = given?;
+    Ok(Some(Taken { predecessor: Predecessor(stream), listener, lock, inheritance }))
 }
 
-async fn receive(stream: &mut UnixStream) -> Result<(OwnedFd, Inheritance), HandoverError> {
+async fn receive(stream: &mut UnixStream) -> Result<(OwnedFd, Option<Lock>, Inheritance), HandoverError> {
     let unreadable = |what: &str| HandoverError::Unreadable(what.to_owned());
     let mut length = [0; 8];
-    let mut fd = None;
+    let mut given = Vec::new();
     let read = stream.async_io(Interest::READABLE, || {
-        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
         let mut control = RecvAncillaryBuffer::new(&mut space);
         let into = &mut [IoSliceMut::new(&mut length)];
         let read = recvmsg(&*stream, into, &mut control, RecvFlags::CMSG_CLOEXEC)?.bytes;
-        fd = control.drain().find_map(|message| match message {
-            RecvAncillaryMessage::ScmRights(mut fds) => fds.next(),
-            _ => None,
-        });
+        for message in control.drain() {
+            if let RecvAncillaryMessage::ScmRights(fds) = message {
+                given.extend(fds);
+            }
+        }
         Ok(read)
     });
     if read.await? != length.len() {
         return Err(unreadable("its length"));
     }
-    let fd = fd.ok_or_else(|| unreadable("the listening socket"))?;
+    let mut given = given.into_iter();
+    let fd = given.next().ok_or_else(|| unreadable("the listening socket"))?;
+    let lock = given.next().map(Lock::from);
     let length = Some(u64::from_le_bytes(length)).filter(|length| *length <= MOST);
     let mut bytes = vec![0; length.ok_or_else(|| unreadable("a length beyond all bounds"))? as usize];
     stream.read_exact(&mut bytes).await?;
     let inheritance = postcard::from_bytes(&bytes).map_err(|e| HandoverError::Unreadable(e.to_string()))?;
-    Ok((fd, inheritance))
+    Ok((fd, lock, inheritance))
 }
 
 impl Predecessor {
@@ -145,14 +194,20 @@
     ///
     /// # Errors
     /// The link is broken, or the listener is none that can be given.
-    pub async fn give(&mut self, listener: &dyn Listener, inheritance: &Inheritance) -> io::Result<()> {
+    pub async fn give(
+        &mut self,
+        listener: &dyn Listener,
+        lock: Option<&Lock>,
+        inheritance: &Inheritance,
+    ) -> io::Result<()> {
         let bytes = postcard::to_allocvec(inheritance).map_err(io::Error::other)?;
         let length = (bytes.len() as u64).to_le_bytes();
         let fd = listener.as_fd().ok_or(io::ErrorKind::Unsupported)?;
         let sent = self.0.async_io(Interest::WRITABLE, || {
-            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
             let mut control = SendAncillaryBuffer::new(&mut space);
-            let fds = [fd];
+            // One of an earlier version takes the first and leaves the rest.
+            let fds: Vec<_> = [fd].into_iter().chain(lock.map(AsFd::as_fd)).collect();
             if !control.push(SendAncillaryMessage::ScmRights(&fds)) {
                 return Err(io::ErrorKind::OutOfMemory.into());
             }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -16,6 +16,7 @@
 mod host;
 mod input;
 mod latest;
+mod lock;
 mod maintenance;
 mod management;
 mod memory;
@@ -39,7 +40,7 @@
 use durability::{Lasting, Traced};
 use figures::Figures;
 pub use handover::HandoverError;
-use handover::Taken;
+use handover::{Entry, Taken};
 use host::{Host, Legacy, Links, Start};
 use input::{Ask, Doors, Input};
 use latest::Latest;
@@ -47,6 +48,7 @@
 use micadrum_recovery::Word;
 use ports::{Listener, Ports, WallClock};
 use recovery::Returning;
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -163,15 +165,20 @@
             });
         }
     });
-    let (mut predecessor, mut inheritance, mut adopted) = match &ports.handover {
-        Some(succession) => match handover::ask(&succession.folder).await? {
-            Some(Taken { predecessor, listener, inheritance }) => {
-                (Some(predecessor), Some(inheritance), Some(listener))
+    let (mut predecessor, mut inheritance, mut adopted) = (None, None, None);
+    // Kept until the place is another's, or this process ends.
+    let mut lock = None;
+    if let Some(succession) = &ports.handover {
+        match handover::enter(&succession.folder, &*ports.log).await? {
+            Entry::Alone(held) => lock = held,
+            Entry::From(taken, file) => {
+                let Taken { predecessor: before, listener, lock: given, inheritance: left } = taken;
+                let file = file.filter(|_| given.is_none());
+                (predecessor, inheritance, adopted) = (Some((before, file)), Some(left), Some(listener));
+                lock = given;
             }
-            None => (None, None, None),
-        },
-        None => (None, None, None),
-    };
+        }
+    }
     let mut config = Rc::new(config);
     let mut place: Option<Place> = None;
     let mut figures = Figures::default();
@@ -235,10 +242,17 @@
         if returning.is_open() {
             doors.set(Doors::Open);
         }
-        if let (Some(predecessor), Some(succession)) = (predecessor.take(), &ports.handover) {
+        if let (Some((before, file)), Some(succession)) = (predecessor.take(), &ports.handover) {
             ports.log.line("took the place of the process before");
-            let follows = predecessor.taken().await;
+            let follows = before.taken().await;
             spawn_local(follows.reloads(succession.reread.clone()));
+            if let Some(file) = file {
+                // One that keeps its lock until it has ended; then this one's, as long as it runs.
+                spawn_local(async move {
+                    let _lock = file.locked().await;
+                    pending::<()>().await;
+                });
+            }
         }
         let Some(legacy) = host.run(&mut from_all).await else {
             if let Some(peers) = peers {
@@ -255,7 +269,7 @@
         let (mut reload, mut wind_down) = (None, None);
         let taken = {
             let mut given = pin!(async {
-                let gave = successor.give(&*listener, &left).await;
+                let gave = successor.give(&*listener, lock.as_ref(), &left).await;
                 if let Err(e) = &gave {
                     ports.log.line(&format!("handover: {e}"));
                 }
@@ -272,7 +286,7 @@
         if taken {
             ports.log.line("the next process took this one's place");
             // It speaks for this sender from now on, at the same address.
-            drop(peers);
+            drop((peers, lock));
             doors.set(Doors::Given);
             if reload.is_some() {
                 successor.reload().await;
--- a/tests/sockets/handover.rs
+++ b/tests/sockets/handover.rs
@@ -92,21 +92,17 @@
 async fn a_next_process_that_ends_on_the_way_leaves_the_old_one_at_work() {
     let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
     let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
-    let socket = node.journal().with_file_name("handover.sock");
-    while !socket.exists() {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
     for (n, hello) in
         ["", "micadrum", "micadrum handover 9", "GET / HTTP/1.1\r\n\r\n....."].iter().enumerate()
     {
-        let mut stranger = UnixStream::connect(&socket).await.unwrap();
+        let mut stranger = caller(&node).await;
         stranger.write_all(hello.as_bytes()).await.unwrap();
         assert_eq!(node.hand_in(&format!("s{n}"), "keyed", "").await.status(), 202);
         endpoint.call().await.ok();
     }
     // It ends before it reads, after the length that brings the listening socket, or after some of the rest.
     for (n, reads) in [vec![], vec![8], vec![8, 56]].into_iter().enumerate() {
-        let mut next = UnixStream::connect(&socket).await.unwrap();
+        let mut next = caller(&node).await;
         next.write_all(b"micadrum handover 2").await.unwrap();
         for bytes in reads {
             let read = timeout(PATIENCE, next.read_exact(&mut vec![0; bytes])).await;
@@ -138,13 +134,9 @@
     let slow = |config: &mut serde_json::Value| config["settings"]["period"] = serde_json::json!(500_000);
     let member = member("s-1", endpoint.address, "single", "SERVING");
     let node = Node::start_with(&platform, &[member], slow).await;
-    let socket = node.journal().with_file_name("handover.sock");
-    while !socket.exists() {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
     assert_eq!(node.hand_in("told", "keyed", "").await.status(), 202);
     let call = endpoint.call().await;
-    let mut next = UnixStream::connect(&socket).await.unwrap();
+    let mut next = caller(&node).await;
     next.write_all(b"micadrum handover 2").await.unwrap();
     // By now it settles, for as long as this call is out.
     tokio::time::sleep(Duration::from_millis(100)).await;
@@ -159,16 +151,26 @@
 
 /// A next process that the test stands for: it has been given the place, and has not said that it took it.
 async fn given(node: &Node) -> UnixStream {
-    let socket = node.journal().with_file_name("handover.sock");
-    while !socket.exists() {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    let mut next = UnixStream::connect(&socket).await.unwrap();
+    let mut next = caller(node).await;
     next.write_all(b"micadrum handover 2").await.unwrap();
     timeout(PATIENCE, next.read_exact(&mut [0; 8])).await.expect("a place that is given").unwrap();
     next
 }
 
+/// Who calls where a next process asks. The socket is there a moment before somebody listens at it.
+async fn caller(node: &Node) -> UnixStream {
+    let socket = node.journal().with_file_name("handover.sock");
+    let connected = timeout(PATIENCE, async {
+        loop {
+            match UnixStream::connect(&socket).await {
+                Ok(stream) => return stream,
+                Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        }
+    });
+    connected.await.expect("a process that listens for the next")
+}
+
 /// Guards against settings that nobody follows: the process was told of them while it gave its place, and the next one
 /// ended on the way.
 #[tokio::test]
@@ -268,3 +270,75 @@
         assert_eq!(figures["reconfig_ok"], 1);
     }
 }
+
+/// Guards against two processes at work on one journal: one that starts while another holds the folder, and is not yet or no
+/// more to be asked for its place, waits for it, changes nothing there, and ends with one line if it stays.
+#[tokio::test]
+async fn a_folder_that_another_process_holds_is_left_alone() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    assert_eq!(node.hand_in("m1", "keyed", "").await.status(), 202);
+    let out = endpoint.call().await;
+    node.kill();
+    drop(out);
+    // Held by somebody whom nobody can ask.
+    let file = std::fs::File::options().write(true).open(node.lasting("lock")).unwrap();
+    rustix::fs::flock(&file, rustix::fs::FlockOperation::NonBlockingLockExclusive).unwrap();
+    let journal = std::fs::read(node.journal()).unwrap();
+    let (code, log) = node.fails_to_begin().await;
+    assert_eq!(code, Some(1));
+    assert!(log.contains("another process is at work in this folder"), "{log}");
+    assert_eq!(std::fs::read(node.journal()).unwrap(), journal, "the journal is as it was");
+    assert!(endpoint.quiet(Duration::from_millis(20)).await);
+    // One that lets go while it is waited for.
+    let begun = node.begin();
+    let lets_go = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        drop(file);
+    };
+    tokio::join!(begun, lets_go);
+    let call = endpoint.call().await;
+    assert_eq!(call.id(), "m1");
+    call.ok();
+    node.figures_where("delivered", |f| f["calls"]["keyed"]["success"] == 1).await;
+}
+
+/// Guards against two processes that are started at one instant and both serve: one takes the other's place, whichever comes
+/// first, and the lock goes along.
+#[tokio::test]
+async fn of_two_processes_that_start_together_one_takes_the_others_place() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let member = member("s-1", endpoint.address, "single", "SERVING");
+    let mut node = Node::start(&platform, &[member]).await;
+    assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+    endpoint.call().await.ok();
+    node.figures_where("delivered", |f| f["calls"]["unsafe"]["success"] == 1).await;
+    node.kill();
+    let mut other = node.beside();
+    tokio::join!(node.begin(), other.begin());
+    assert_eq!(node.address, other.address, "clients come to one place");
+    // The one whose place was taken ends by itself; the other serves.
+    let (mut first, mut second) = (node, other);
+    let ended = timeout(PATIENCE, async {
+        loop {
+            if let Some(ended) = first.has_ended() {
+                std::mem::swap(&mut first, &mut second);
+                return ended;
+            }
+            if let Some(ended) = second.has_ended() {
+                return ended;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    assert!(ended.await.expect("one of them ends"));
+    assert_eq!(first.hand_in("m2", "unsafe", "").await.status(), 202);
+    let call = endpoint.call().await;
+    assert_eq!(call.id(), "m2");
+    call.ok();
+    assert!(endpoint.quiet(Duration::from_millis(50)).await, "a message went out twice");
+    // It holds the lock that it was given.
+    let file = std::fs::File::options().write(true).open(first.lasting("lock")).unwrap();
+    let lock = rustix::fs::flock(&file, rustix::fs::FlockOperation::NonBlockingLockExclusive);
+    assert_eq!(lock, Err(rustix::io::Errno::WOULDBLOCK));
+}
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -315,7 +315,11 @@
     /// Starts the process on what its folder holds, and waits until it serves.
     pub async fn begin(&mut self) {
         let file = self.folder.path().join("config.json");
-        std::fs::write(&file, self.config.to_string()).unwrap();
+        // As it is, if it is: another process may be about to read it.
+        let text = self.config.to_string();
+        if std::fs::read_to_string(&file).ok().as_ref() != Some(&text) {
+            std::fs::write(&file, text).unwrap();
+        }
         let mut command = Command::new(env!("CARGO_BIN_EXE_micadrum"));
         let operator = self.lasting("operator.toml");
         if operator.exists() {
@@ -355,6 +359,20 @@
         old
     }
 
+    /// The same sender, for a second process beside this one.
+    pub fn beside(&self) -> Node {
+        Node { folder: self.folder.clone(), config: self.config.clone(), process: None, ..*self }
+    }
+
+    /// Starts the process on what its folder holds, where it cannot begin: its code, and its log.
+    pub async fn fails_to_begin(&self) -> (Option<i32>, String) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_micadrum"));
+        command.env("PROXY_CONFIG", self.lasting("config.json")).env("PROXY_STATE", self.folder.path());
+        let ended = tokio::task::spawn_blocking(move || command.stderr(Stdio::piped()).output().unwrap());
+        let output = timeout(PATIENCE, ended).await.expect("an end").unwrap();
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
             process.kill().unwrap();
@@ -433,6 +451,13 @@
         timeout(PATIENCE, wait).await.expect("an end").unwrap()
     }
 
+    /// Whether the process has ended, and in good order.
+    pub fn has_ended(&mut self) -> Option<bool> {
+        let ended = self.process.as_mut()?.try_wait().unwrap()?;
+        self.process = None;
+        Some(ended.success())
+    }
+
     pub fn journal(&self) -> std::path::PathBuf {
         self.folder.path().join("messages.wal")
     }
