Tests: a process that should not begin is ended by the test, and says what it logged

Seen: with the lock left out for the occasion, the test of a held folder hung instead of failing. Now: 'it began: operators: listening on ...' after its bound; of_two_processes fails with two addresses (left 44693, right 43233). Both pass with the lock.

--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -366,11 +366,23 @@
 
     /// Starts the process on what its folder holds, where it cannot begin: its code, and its log.
     pub async fn fails_to_begin(&self) -> (Option<i32>, String) {
+        let log = self.lasting("failed.log");
         let mut command = Command::new(env!("CARGO_BIN_EXE_micadrum"));
         command.env("PROXY_CONFIG", self.lasting("config.json")).env("PROXY_STATE", self.folder.path());
-        let ended = tokio::task::spawn_blocking(move || command.stderr(Stdio::piped()).output().unwrap());
-        let output = timeout(PATIENCE, ended).await.expect("an end").unwrap();
-        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+        let mut process = command.stderr(std::fs::File::create(&log).unwrap()).spawn().unwrap();
+        let until = tokio::time::Instant::now() + PATIENCE;
+        let code = loop {
+            if let Some(ended) = process.try_wait().unwrap() {
+                break ended.code();
+            }
+            if tokio::time::Instant::now() > until {
+                process.kill().unwrap();
+                process.wait().unwrap();
+                panic!("it began: {}", std::fs::read_to_string(&log).unwrap());
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        };
+        (code, std::fs::read_to_string(&log).unwrap())
     }
 
     pub fn kill(&mut self) {
