--- /dev/null
+++ b/crates/micadrum-fault-injection/src/sockets.rs
@@ -0,0 +1,224 @@
+//! Functions on sockets, and those that wait.
+use crate::control::{control, injected, injected_error};
+use crate::{fail, result};
+use libc::{c_int, c_void, epoll_event, iovec, size_t, sockaddr, socklen_t, ssize_t};
+use micadrum_fault_control::FaultKind;
+
+const ACCEPT_ERRORS: [c_int; 5] =
+    [libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::EMFILE, libc::ENOMEM];
+const CONNECT_ERRORS: [c_int; 5] =
+    [libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::ENOBUFS, libc::EHOSTUNREACH, libc::ETIMEDOUT];
+const SOCKET_ERRORS: [c_int; 4] = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM];
+const BIND_ERRORS: [c_int; 3] = [libc::EADDRINUSE, libc::ENOBUFS, libc::ENOMEM];
+const RECEIVE_ERRORS: [c_int; 3] = [libc::ECONNRESET, libc::ETIMEDOUT, libc::EHOSTUNREACH];
+const INTERRUPTED: [c_int; 1] = [libc::EINTR];
+
+/// Whether a descriptor is a socket.
+fn is_socket(descriptor: c_int) -> bool {
+    let mut kind: c_int = 0;
+    let mut length = size_of::<c_int>() as socklen_t;
+    // SAFETY: both pointers are valid for the call.
+    let outcome = unsafe {
+        libc::getsockopt(descriptor, libc::SOL_SOCKET, libc::SO_TYPE, (&raw mut kind).cast(), &raw mut length)
+    };
+    outcome == 0
+}
+
+/// Returns the bytes that a transfer of `length` bytes may move: fewer, but at least one, if it has to be short.
+fn transfer_length(length: size_t) -> size_t {
+    if length <= 1 || injected(FaultKind::ShortTransfer).is_none() {
+        return length;
+    }
+    control().map_or(length, |control| 1 + control.random_below(length as u64 - 1) as size_t)
+}
+
+/// Delays a write, as if the process had not been scheduled.
+fn delay_write() {
+    let Some(max_us) = injected(FaultKind::DelayedWrite) else { return };
+    let delay_us = control().map_or(0, |control| control.random_below(max_us.unsigned_abs().max(1)));
+    std::thread::sleep(std::time::Duration::from_micros(delay_us));
+}
+
+/// Returns the error that a read from a socket fails with.
+fn receive_error() -> Option<c_int> {
+    injected_error(FaultKind::Interrupt, &INTERRUPTED)
+        .or_else(|| injected_error(FaultKind::Receive, &RECEIVE_ERRORS))
+}
+
+/// Stands in for `accept4`. No connection is taken from the queue when the call fails, as with a lack of descriptors, or as
+/// with an aborted connection in front of the others.
+///
+/// # Safety
+/// As for the function of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn accept4(
+    descriptor: c_int,
+    address: *mut sockaddr,
+    length: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    let interrupted = injected_error(FaultKind::Interrupt, &INTERRUPTED);
+    if let Some(error) = interrupted.or_else(|| injected_error(FaultKind::Accept, &ACCEPT_ERRORS)) {
+        return fail(error);
+    }
+    // SAFETY: the caller's arguments are passed on.
+    result(unsafe { libc::syscall(libc::SYS_accept4, descriptor, address, length, flags) })
+}
+
+/// Stands in for `socket`.
+#[unsafe(no_mangle)]
+pub extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    if domain == libc::AF_INET
+        && let Some(error) = injected_error(FaultKind::Socket, &SOCKET_ERRORS)
+    {
+        return fail(error);
+    }
+    // SAFETY: a system call without pointers.
+    result(unsafe { libc::syscall(libc::SYS_socket, domain, kind, protocol) })
+}
+
+/// Stands in for `connect`.
+///
+/// # Safety
+/// As for the function of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn connect(descriptor: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
+    // SAFETY: the caller's address is at least as long as its family.
+    let is_internet = unsafe { (*address).sa_family } == libc::AF_INET as libc::sa_family_t;
+    if is_internet && let Some(error) = injected_error(FaultKind::Connect, &CONNECT_ERRORS) {
+        return fail(error);
+    }
+    // SAFETY: the caller's arguments are passed on.
+    result(unsafe { libc::syscall(libc::SYS_connect, descriptor, address, length) })
+}
+
+/// Stands in for `bind`.
+///
+/// # Safety
+/// As for the function of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn bind(descriptor: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
+    // SAFETY: the caller's address is at least as long as its family.
+    let is_internet = unsafe { (*address).sa_family } == libc::AF_INET as libc::sa_family_t;
+    if is_internet && let Some(error) = injected_error(FaultKind::Bind, &BIND_ERRORS) {
+        return fail(error);
+    }
+    // SAFETY: the caller's arguments are passed on.
+    result(unsafe { libc::syscall(libc::SYS_bind, descriptor, address, length) })
+}
+
+/// Stands in for `epoll_wait`.
+///
+/// # Safety
+/// As for the function of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn epoll_wait(
+    descriptor: c_int,
+    events: *mut epoll_event,
+    max_events: c_int,
+    timeout_ms: c_int,
+) -> c_int {
+    if let Some(error) = injected_error(FaultKind::Interrupt, &INTERRUPTED) {
+        return fail(error);
+    }
+    let no_mask = std::ptr::null::<c_void>();
+    // SAFETY: the caller's arguments are passed on, without a signal mask.
+    result(unsafe {
+        libc::syscall(
+            libc::SYS_epoll_pwait,
+            descriptor,
+            events,
+            max_events,
+            timeout_ms,
+            no_mask,
+            size_of::<u64>(),
+        )
+    })
+}
+
+/// Stands in for `recv`.
+///
+/// # Safety
+/// As for the function of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn recv(
+    descriptor: c_int,
+    buffer: *mut c_void,
+    length: size_t,
+    flags: c_int,
+) -> ssize_t {
+    let is_peek = flags & libc::MSG_PEEK != 0;
+    if !is_peek && let Some(error) = receive_error() {
+        return fail(error) as ssize_t;
+    }
+    let length = if is_peek { length } else { transfer_length(length) };
+    let none = std::ptr::null::<c_void>();
+    // SAFETY: the caller's buffer holds at least `length` bytes.
+    unsafe { libc::syscall(libc::SYS_recvfrom, descriptor, buffer, length, flags, none, none) as ssize_t }
+}
+
+/// Stands in for `send`.
+///
+/// # Safety
+/// As for the function of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn send(
+    descriptor: c_int,
+    buffer: *const c_void,
+    length: size_t,
+    flags: c_int,
+) -> ssize_t {
+    if let Some(error) = injected_error(FaultKind::Interrupt, &INTERRUPTED) {
+        return fail(error) as ssize_t;
+    }
+    delay_write();
+    let length = transfer_length(length);
+    let none = std::ptr::null::<c_void>();
+    // SAFETY: the caller's buffer holds at least `length` bytes.
+    unsafe { libc::syscall(libc::SYS_sendto, descriptor, buffer, length, flags, none, 0) as ssize_t }
+}
+
+/// Stands in for `readv`.
+///
+/// # Safety
+/// As for the function of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn readv(descriptor: c_int, parts: *const iovec, count: c_int) -> ssize_t {
+    if count > 0 && is_socket(descriptor) {
+        // SAFETY: there is a first part. Reading into it alone is a short read.
+        return unsafe { recv(descriptor, (*parts).iov_base, (*parts).iov_len, 0) };
+    }
+    // SAFETY: the caller's arguments are passed on.
+    unsafe { libc::syscall(libc::SYS_readv, descriptor, parts, count) as ssize_t }
+}
+
+/// Stands in for `writev`.
+///
+/// # Safety
+/// As for the function of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn writev(descriptor: c_int, parts: *const iovec, count: c_int) -> ssize_t {
+    if count > 0 && is_socket(descriptor) {
+        if let Some(error) = injected_error(FaultKind::Interrupt, &INTERRUPTED) {
+            return fail(error) as ssize_t;
+        }
+        delay_write();
+        // SAFETY: the caller's array has `count` parts.
+        let parts = unsafe { std::slice::from_raw_parts(parts, count as usize) };
+        let first = parts.iter().find(|part| part.iov_len > 0).unwrap_or(&parts[0]);
+        let shortened = transfer_length(first.iov_len);
+        if shortened < first.iov_len {
+            let flags = libc::MSG_NOSIGNAL;
+            let none = std::ptr::null::<c_void>();
+            // SAFETY: the caller's first part holds at least that many bytes.
+            return unsafe {
+                libc::syscall(libc::SYS_sendto, descriptor, first.iov_base, shortened, flags, none, 0)
+                    as ssize_t
+            };
+        }
+        // SAFETY: the caller's arguments are passed on.
+        return unsafe { libc::syscall(libc::SYS_writev, descriptor, parts.as_ptr(), count) as ssize_t };
+    }
+    // SAFETY: the caller's arguments are passed on.
+    unsafe { libc::syscall(libc::SYS_writev, descriptor, parts, count) as ssize_t }
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -15,6 +15,7 @@
 mod recovery;
 mod restarts;
 mod resumed;
+mod system_calls;
 mod terminated;
 mod watch;
 mod world;
--- /dev/null
+++ b/tests/sockets/system_calls.rs
@@ -0,0 +1,95 @@
+//! System calls that fail as Linux documents, in a real process: the fault injection library is preloaded.
+use super::world::*;
+use micadrum_fault_control::{Fault, FaultKind};
+use serde_json::Value;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Error numbers of Linux.
+const CONNECTION_ABORTED: i64 = 103;
+/// Longer than an exchange takes on a busy machine, and shorter than any timeout of a client's connection.
+const PROMPT: Duration = Duration::from_millis(1500);
+const HOUR_US: i64 = 3_600_000_000;
+
+/// Sets the deduplication window of all classes to 2 s.
+fn set_short_window(config: &mut Value) {
+    for class in config["settings"]["lanes"].as_array_mut().unwrap() {
+        class["key_ttl"] = 2_000_000.into();
+    }
+}
+
+/// Sends a request for the readiness on an open connection, and returns the status of the response.
+async fn readiness_on(stream: &mut TcpStream) -> Option<u16> {
+    stream.write_all(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await.ok()?;
+    let response = timeout(PATIENCE, Http::read(stream)).await.expect("a response or an end")?;
+    Some(response.status())
+}
+
+/// Guards against closing the connections of clients for an error of `accept` that more descriptors would not mend.
+#[tokio::test]
+async fn an_aborted_connection_costs_no_other_its_place() {
+    let platform = Platform::start().await;
+    let node = Node::start_with_faults(&platform, &[], |_| {}).await;
+    let mut earlier = TcpStream::connect(node.address).await.unwrap();
+    assert_eq!(node.request("GET /-/ready", "", b"").await.status(), 200);
+    let aborted = Fault::always(FaultKind::Accept).with_parameter(CONNECTION_ABORTED).at_most(3);
+    node.faults().begin(aborted).unwrap();
+    assert_eq!(node.request("GET /-/ready", "", b"").await.status(), 200);
+    assert_eq!(node.faults().count(FaultKind::Accept).unwrap().injected, 3);
+    assert_eq!(readiness_on(&mut earlier).await, Some(200));
+}
+
+/// Guards against waiting for readiness that was there all along: a transfer may move less than there is.
+#[tokio::test]
+async fn a_short_transfer_is_followed_by_the_rest() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let members = [member("s-1", endpoint.address, "single", "SERVING")];
+    let node = Node::start_with_faults(&platform, &members, |_| {}).await;
+    node.faults().begin(Fault::always(FaultKind::ShortTransfer)).unwrap();
+    for number in 0..20 {
+        let id = format!("m{number}");
+        let response = timeout(PROMPT, node.hand_in(&id, "unsafe", "")).await;
+        assert_eq!(response.expect("a prompt response").status(), 202);
+        let call = timeout(PROMPT, endpoint.call()).await.expect("a prompt call");
+        assert_eq!(call.id(), id);
+        call.ok();
+    }
+    assert!(node.faults().count(FaultKind::ShortTransfer).unwrap().injected > 100);
+}
+
+/// Guards against a deduplication window that is measured by a wall clock that was set back.
+#[tokio::test]
+async fn a_window_ends_although_the_wall_clock_was_set_back() {
+    let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+    let members = [member("s-1", endpoint.address, "single", "SERVING")];
+    let mut node = Node::start_with_faults(&platform, &members, set_short_window).await;
+    assert_eq!(node.hand_in("m1", "keyed", "").await.status(), 202);
+    let call = endpoint.call().await;
+    node.kill();
+    node.faults().begin(Fault::always(FaultKind::WallClock).with_parameter(-HOUR_US)).unwrap();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    node.begin().await;
+    let notice = platform.notice().await;
+    assert_eq!((notice["id"].as_str(), notice["state"].as_str()), (Some("m1"), Some("failed")));
+    drop(call);
+    assert!(endpoint.quiet(Duration::from_millis(300)).await, "sent again after its window");
+}
+
+/// Guards against giving up a message at a restart because the wall clock was set forward.
+#[tokio::test]
+async fn a_message_keeps_its_time_although_the_wall_clock_was_set_forward() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let members = [member("s-1", endpoint.address, "single", "DRAINING")];
+    let mut node = Node::start_with_faults(&platform, &members, |_| {}).await;
+    assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+    node.kill();
+    node.faults().begin(Fault::always(FaultKind::WallClock).with_parameter(HOUR_US)).unwrap();
+    let revived = [member("s-1", endpoint.address, "single", "SERVING")];
+    node.begin().await;
+    platform.tell(&revived);
+    let call = endpoint.call().await;
+    assert_eq!(call.id(), "m1");
+    call.ok();
+}
