Accept errors close nobody's connection, and short transfers wait for no edge

Cause: ingress/mod.rs, accept: each error of any kind closed the connection that had been idle longest, and one that had just been accepted counted as idle. daemon/system.rs, TcpConnection: tokio's poll_read and poll_write clear the readiness after a transfer of less than the buffer, and wait for an edge that never comes.

Change: accept errors are classified (accept_failure.rs): only EMFILE and ENFILE call for a connection to close, errors of the one connection for no rest either; the log has a line a second. A connection that has had no response gives way last, and one is busy from the first byte of a request until its response is written, no more from the body's end until the response is made: a connection whose request has begun to arrive is never cut. ready_stream.rs transfers until the system says that it would block, and repeats what a signal interrupted; connections of clients, endpoints, discovery, notifications, links and the handover's Unix socket go through it. The handover reads a length that comes in pieces.

The cost of the further read at saturation is measured later.

--- /dev/null
+++ b/src/daemon/accept_failure/tests.rs
@@ -0,0 +1,25 @@
+//! Tests of what errors of `accept` say.
+use super::*;
+
+/// Guards against closing connections for errors that say nothing of descriptors.
+#[test]
+fn only_a_lack_of_descriptors_calls_for_a_connection_to_close() {
+    let failure = |error: Errno| AcceptFailure::of(&error.into());
+    for error in [Errno::MFILE, Errno::NFILE] {
+        assert_eq!(failure(error), AcceptFailure::Descriptors, "{error}");
+    }
+    for error in [Errno::CONNABORTED, Errno::INTR, Errno::PROTO, Errno::HOSTUNREACH, Errno::TIMEDOUT] {
+        assert_eq!(failure(error), AcceptFailure::Connection, "{error}");
+    }
+    for error in [Errno::NOBUFS, Errno::NOMEM, Errno::INVAL] {
+        assert_eq!(failure(error), AcceptFailure::System, "{error}");
+    }
+}
+
+/// Guards against a log that grows with what strangers do.
+#[test]
+fn errors_are_logged_once_a_second() {
+    let mut limit = ErrorLogLimit::default();
+    let logged = (0..2500).filter_map(|millis| limit.admit(Duration::from_millis(millis)));
+    assert_eq!(logged.collect::<Vec<_>>(), [0, 999, 999]);
+}
--- a/src/daemon/admin_server.rs
+++ b/src/daemon/admin_server.rs
@@ -1,6 +1,7 @@
 //! The admin endpoint: status, metrics and maintenance for operators, on a socket of its own.
 //!
 //! It serves one request a connection and has limits of its own, so that neither clients nor operators keep each other out.
+use super::accept_failure::ErrorLogLimit;
 use super::events::{AdminError, AdminRequest, ListenerState, LoopEvent, MaintenanceChange};
 use super::ingress::{ConnectionLimits, ConnectionPermit, LingeringClose, collect, plain};
 use super::membership::{ViewQuery, Views};
@@ -22,7 +23,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// How long a request may take to arrive.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
@@ -52,6 +53,7 @@
 pub async fn serve(listener: Box<dyn Listener>, context: AdminContext, log: Rc<dyn Log>) {
     let context = Rc::new(context);
     let limits = ConnectionLimits::new(MAX_OPERATOR_CONNECTIONS, MAX_BODY_BYTES);
+    let (started_at, mut log_limit) = (Instant::now(), ErrorLogLimit::default());
     loop {
         match listener.accept().await {
             Ok(stream) => {
@@ -59,7 +61,9 @@
                 spawn_local(serve_connection(stream, permit, context.clone()));
             }
             Err(error) => {
-                log.line(&format!("operators: accepting: {error}"));
+                if let Some(suppressed) = log_limit.admit(started_at.elapsed()) {
+                    log.line(&format!("operators: accept failed error={error} suppressed={suppressed}"));
+                }
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- a/src/daemon/handover.rs
+++ b/src/daemon/handover.rs
@@ -13,6 +13,7 @@
 use super::checkpoint::Checkpoint;
 use super::class_registry::NamedClass;
 use super::ports::{Listener, Log};
+use super::ready_stream::ReadyStream;
 use super::state_lock::{LockAttempt, StateLock, UnlockedState};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
@@ -92,13 +93,13 @@
 }
 
 /// The link to the predecessor, before this process has confirmed.
-pub struct Predecessor(UnixStream);
+pub struct Predecessor(ReadyStream<UnixStream>);
 
 /// The link to the predecessor after that, for as long as the predecessor runs.
-pub struct ConfirmedPredecessor(UnixStream);
+pub struct ConfirmedPredecessor(ReadyStream<UnixStream>);
 
 /// The link to the successor.
-pub struct Successor(UnixStream);
+pub struct Successor(ReadyStream<UnixStream>);
 
 /// What a successor starts with.
 pub struct ReceivedListener {
@@ -156,19 +157,23 @@
 /// Asks the process that runs in the folder to hand over; none if no process runs there.
 async fn request_handover(folder: &Path) -> Result<Option<ReceivedListener>, HandoverError> {
     // A socket on which nobody listens was left by a process that ended.
-    let Ok(mut stream) = UnixStream::connect(folder.join(NAME)).await else { return Ok(None) };
+    let Ok(stream) = UnixStream::connect(folder.join(NAME)).await else { return Ok(None) };
+    let mut stream = ReadyStream(stream);
     stream.write_all(HELLO).await?;
     let received = timeout(HANDOVER_TIMEOUT, receive(stream)).await;
     received.map_err(|_| HandoverError::Late)?.map(Some)
 }
 
-async fn receive(mut stream: UnixStream) -> Result<ReceivedListener, HandoverError> {
+async fn receive(mut stream: ReadyStream<UnixStream>) -> Result<ReceivedListener, HandoverError> {
     let mut length = [0; 8];
     let mut descriptors = Vec::new();
-    let read = stream
-        .async_io(Interest::READABLE, || receive_with_descriptors(&stream, &mut length, &mut descriptors));
-    if read.await? != length.len() {
-        return Err(UnreadableState::Length.into());
+    let socket = &stream.0;
+    let read = socket
+        .async_io(Interest::READABLE, || receive_with_descriptors(socket, &mut length, &mut descriptors));
+    match read.await? {
+        0 => return Err(UnreadableState::Length.into()),
+        // The descriptors come with the first byte; the other bytes may come later.
+        bytes => drop(stream.read_exact(&mut length[bytes..]).await?),
     }
     let mut descriptors = descriptors.into_iter();
     let listener = descriptors.next().ok_or(UnreadableState::ListenerMissing)?;
@@ -238,7 +243,7 @@
         let bytes = postcard::to_allocvec(state).map_err(io::Error::other)?;
         let length = (bytes.len() as u64).to_le_bytes();
         let listener = listener.as_fd().ok_or(io::ErrorKind::Unsupported)?;
-        let sent = self.0.async_io(Interest::WRITABLE, || {
+        let sent = self.0.0.async_io(Interest::WRITABLE, || {
             let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_DESCRIPTORS))];
             let mut control = SendAncillaryBuffer::new(&mut space);
             // A successor of an earlier version takes the first descriptor and ignores the second.
@@ -246,11 +251,10 @@
             if !control.push(SendAncillaryMessage::ScmRights(&descriptors)) {
                 return Err(io::ErrorKind::OutOfMemory.into());
             }
-            Ok(sendmsg(&self.0, &[IoSlice::new(&length)], &mut control, SendFlags::NOSIGNAL)?)
+            Ok(sendmsg(&self.0.0, &[IoSlice::new(&length)], &mut control, SendFlags::NOSIGNAL)?)
         });
-        if sent.await? != length.len() {
-            return Err(io::ErrorKind::WriteZero.into());
-        }
+        let sent = sent.await?;
+        self.0.write_all(&length[sent..]).await?;
         self.0.write_all(&bytes).await
     }
 
@@ -277,10 +281,11 @@
         Err(error) => return log.line(&format!("handover: unavailable file={NAME} error={error}")),
     };
     loop {
-        let Ok((mut stream, _)) = listener.accept().await else {
-            sleep(HELLO_TIMEOUT).await;
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(RETRY_INTERVAL).await;
             continue;
         };
+        let mut stream = ReadyStream(stream);
         let mut hello = [0; HELLO.len()];
         let read = timeout(HELLO_TIMEOUT, stream.read_exact(&mut hello)).await;
         if read.is_ok_and(|read| read.is_ok()) && hello == *HELLO {
--- a/src/daemon/ingress/connection_limits.rs
+++ b/src/daemon/ingress/connection_limits.rs
@@ -1,8 +1,9 @@
 //! How many connections are open, and which one is closed for a newcomer.
 //!
 //! A connection is idle while no request on it waits for a response. When all permits are taken, the connection that has
-//! been idle longest is asked to close.
+//! been idle longest is asked to close. One that has not had a response yet comes last: its first request may be on the way.
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, SemaphorePermit};
 
@@ -14,11 +15,19 @@
     max_connections: usize,
 }
 
-/// Idle connections in the order in which they became idle, with what asks each to close.
+/// The place of an idle connection in the order in which they close: those that have had a response come first, and of
+/// these the one that has been idle longest.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct IdlePlace {
+    is_fresh: bool,
+    number: u64,
+}
+
+/// Idle connections in the order in which they close, with what asks each to close.
 #[derive(Default)]
 struct IdleConnections {
-    next: u64,
-    close: BTreeMap<u64, Arc<Notify>>,
+    next_number: u64,
+    close: BTreeMap<IdlePlace, Arc<Notify>>,
 }
 
 impl ConnectionLimits {
@@ -48,7 +57,7 @@
         let _ = self.permits.acquire_many(self.max_connections as u32).await;
     }
 
-    /// Asks the connection that has been idle longest to close.
+    /// Asks one idle connection to close: one that has had a response if there is any.
     pub fn close_idle(&self) {
         if let Some((_, close)) = self.idle().close.pop_first() {
             close.notify_one();
@@ -71,35 +80,60 @@
     pub limits: Arc<ConnectionLimits>,
     /// Notified when the connection has to close for a newcomer.
     pub close: Arc<Notify>,
-    /// Its number among the idle connections, while it is idle.
-    idle_number: Mutex<Option<u64>>,
+    /// Its place among the idle connections, while it is idle.
+    idle_place: Mutex<Option<IdlePlace>>,
+    /// Whether the response to the last request has been made, and not been written yet.
+    has_response: AtomicBool,
     _permit: OwnedSemaphorePermit,
 }
 
 impl ConnectionPermit {
     fn new(limits: Arc<ConnectionLimits>, permit: OwnedSemaphorePermit) -> Self {
-        let permit = Self { limits, close: Arc::default(), idle_number: Mutex::default(), _permit: permit };
-        permit.set_idle();
+        let permit = Self {
+            limits,
+            close: Arc::default(),
+            idle_place: Mutex::default(),
+            has_response: AtomicBool::default(),
+            _permit: permit,
+        };
+        permit.enter_idle(true);
         permit
     }
 
-    /// Records that no request on the connection waits for a response.
-    pub fn set_idle(&self) {
+    /// Records that the response to the last request is about to be written.
+    pub fn set_responded(&self) {
+        self.has_response.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that all that was to be written has been written: after a response, no request waits for another one.
+    pub fn set_flushed(&self) {
+        if self.has_response.swap(false, Ordering::Relaxed) {
+            self.enter_idle(false);
+        }
+    }
+
+    fn enter_idle(&self, is_fresh: bool) {
         let mut idle = self.limits.idle();
-        let number = idle.next;
-        idle.next += 1;
-        idle.close.insert(number, self.close.clone());
-        *self.idle_number() = Some(number);
+        let place = IdlePlace { is_fresh, number: idle.next_number };
+        idle.next_number += 1;
+        idle.close.insert(place, self.close.clone());
+        *self.idle_place() = Some(place);
     }
 
-    /// Records that a request has arrived and needs a response. Returns false if the connection was asked to close.
-    pub fn set_busy(&self) -> bool {
-        let number = self.idle_number().take();
-        number.is_none_or(|number| self.limits.idle().close.remove(&number).is_some())
+    /// Records that a request has begun to arrive, and needs a response.
+    pub fn set_busy(&self) {
+        if let Some(place) = self.idle_place().take() {
+            self.limits.idle().close.remove(&place);
+        }
     }
 
-    fn idle_number(&self) -> MutexGuard<'_, Option<u64>> {
-        self.idle_number.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Whether a request on the connection has begun to arrive, and has not had its response.
+    pub fn is_busy(&self) -> bool {
+        self.idle_place().is_none()
+    }
+
+    fn idle_place(&self) -> MutexGuard<'_, Option<IdlePlace>> {
+        self.idle_place.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -108,3 +142,6 @@
         self.set_busy();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/daemon/ingress/connection_limits/tests.rs
@@ -0,0 +1,33 @@
+//! Tests of which connection gives way.
+use super::*;
+
+async fn is_asked_to_close(permit: &ConnectionPermit) -> bool {
+    tokio::time::timeout(std::time::Duration::ZERO, permit.close.notified()).await.is_ok()
+}
+
+/// Guards against closing a connection whose client has not had a response yet, while there is another one: its first
+/// request may be on the way.
+#[tokio::test]
+async fn a_connection_without_a_response_gives_way_last() {
+    let limits = ConnectionLimits::new(3, 1024);
+    let fresh = limits.admit().await.unwrap();
+    let served = limits.admit().await.unwrap();
+    served.set_busy();
+    served.set_responded();
+    served.set_flushed();
+    limits.close_idle();
+    assert!(is_asked_to_close(&served).await);
+    assert!(!is_asked_to_close(&fresh).await);
+    limits.close_idle();
+    assert!(is_asked_to_close(&fresh).await);
+}
+
+/// Guards against a connection that is closed while its request is in work.
+#[tokio::test]
+async fn a_busy_connection_never_gives_way() {
+    let limits = ConnectionLimits::new(2, 1024);
+    let busy = limits.admit().await.unwrap();
+    busy.set_busy();
+    limits.close_idle();
+    assert!(!is_asked_to_close(&busy).await);
+}
--- a/src/daemon/ingress/mod.rs
+++ b/src/daemon/ingress/mod.rs
@@ -5,8 +5,10 @@
 mod connection_limits;
 mod forwarding;
 mod lingering_close;
+mod request_activity;
 mod submission;
 
+use super::accept_failure::{AcceptFailure, ErrorLogLimit};
 use super::events::{ListenerState, LoopEvent, SubmitResponse};
 use super::ports::{Listener, Log, Network, Ports, Stream};
 use super::resource_budget::ResourceBudget;
@@ -21,6 +23,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 pub use lingering_close::LingeringClose;
+use request_activity::RequestActivity;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,7 +33,7 @@
 pub use submission::collect;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep, timeout};
 
 /// Most bytes of a request head: fields are limited to 1 KiB each, and there are few.
@@ -40,7 +43,7 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2100);
 /// How long a request body may take. Clients wait 400 ms for their response, so a slower one has gone.
 const BODY_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long accepting rests after an error, such as no descriptors left.
+/// How long accepting rests after an error that says something of the whole system, such as no descriptors left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// What a response to a client may need.
@@ -73,6 +76,7 @@
 ) {
     let state = &context.state;
     let limits = ConnectionLimits::new(budget.client_connections, budget.request_body_bytes);
+    let (started_at, mut log_limit) = (Instant::now(), ErrorLogLimit::default());
     let is_over = |state| matches!(state, ListenerState::Closed | ListenerState::HandedOver);
     loop {
         let accepted = tokio::select! {
@@ -91,10 +95,10 @@
                 spawn_local(serve_connection(stream, permit, context.clone()));
             }
             Err(error) => {
-                // There may be no descriptors left: open connections go on, and an idle one makes room.
-                log.line(&format!("accepting: {error}"));
-                limits.close_idle();
-                sleep(ACCEPT_RETRY_DELAY).await;
+                if let Some(suppressed) = log_limit.admit(started_at.elapsed()) {
+                    log.line(&format!("ingress: accept failed error={error} suppressed={suppressed}"));
+                }
+                recover_from(AcceptFailure::of(&error), &limits).await;
             }
         }
     }
@@ -102,11 +106,23 @@
     limits.all_closed().await;
 }
 
+/// Does what has to happen before the next connection can be accepted.
+async fn recover_from(failure: AcceptFailure, limits: &ConnectionLimits) {
+    match failure {
+        AcceptFailure::Connection => return yield_now().await,
+        // Open connections go on, and an idle one makes room.
+        AcceptFailure::Descriptors => limits.close_idle(),
+        AcceptFailure::System => {}
+    }
+    sleep(ACCEPT_RETRY_DELAY).await;
+}
+
 async fn serve_connection(
     stream: Box<dyn Stream>,
     permit: Arc<ConnectionPermit>,
     context: Rc<IngressContext>,
 ) {
+    let stream = RequestActivity::new(LingeringClose::new(stream), permit.clone());
     let service = service_fn(|request| {
         let (permit, context) = (permit.clone(), context.clone());
         async move { Ok::<_, Infallible>(respond(request, &permit, &context).await) }
@@ -117,13 +133,17 @@
         .max_buf_size(MAX_HEAD_BYTES)
         // A client may end its sending with its request; it still waits for the response.
         .half_close(true)
-        .serve_connection(TokioIo::new(LingeringClose::new(stream)), service);
+        .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     // A client that breaks its connection off receives nothing more: there is nobody to tell of the error.
     tokio::select! {
         biased;
         _ = connection.as_mut() => return,
-        () = permit.close.notified() => return,
+        () = permit.close.notified() => match permit.is_busy() {
+            // A request that has begun to arrive still gets its response.
+            true => connection.as_mut().graceful_shutdown(),
+            false => return,
+        },
         () = context.state.wait_for(|state| state == ListenerState::Closed) => connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
@@ -134,6 +154,7 @@
     permit: &ConnectionPermit,
     context: &IngressContext,
 ) -> Response<Full<Bytes>> {
+    permit.set_busy();
     let mut response = match (request.method(), request.uri().path()) {
         (&Method::GET, "/-/ready") => context.readiness().await,
         (&Method::POST, "/api") => submit(request, permit, context).await,
@@ -144,6 +165,7 @@
     if context.state.get() != ListenerState::Accepting || response.status().is_client_error() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    permit.set_responded();
     response
 }
 
@@ -203,10 +225,6 @@
         Ok(submission) => submission,
         Err(error) => return plain(StatusCode::BAD_REQUEST, format!("{error}\n")),
     };
-    if !permit.set_busy() {
-        // The connection is about to close: the client would never learn that the message was accepted.
-        return plain(StatusCode::SERVICE_UNAVAILABLE, "not taken on\n");
-    }
     let (reply, response) = oneshot::channel();
     let deadline = received_at + submission.remaining;
     let _ = context.events.send(LoopEvent::Submit { message: submission.message, deadline, reply });
@@ -218,7 +236,6 @@
         // Nor has one that has ended.
         response => submit_response(response.unwrap_or(SubmitResponse::Rejected)),
     };
-    permit.set_idle();
     response
 }
 
--- /dev/null
+++ b/src/daemon/ingress/request_activity.rs
@@ -0,0 +1,53 @@
+//! A client's stream that marks its connection busy from the first byte of a request to the last one of the response.
+use super::ConnectionPermit;
+use super::lingering_close::LingeringClose;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// The stream of a client. A connection of which a byte was read must not be closed for another one: the request would go
+/// without a response.
+pub struct RequestActivity {
+    stream: LingeringClose,
+    permit: Arc<ConnectionPermit>,
+}
+
+impl RequestActivity {
+    /// Wraps the stream of the connection that has `permit`.
+    pub fn new(stream: LingeringClose, permit: Arc<ConnectionPermit>) -> Self {
+        Self { stream, permit }
+    }
+}
+
+impl AsyncRead for RequestActivity {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if buf.filled().len() > before {
+            self.permit.set_busy();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for RequestActivity {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.permit.set_flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! The daemon runs on one thread inside a [`tokio::task::LocalSet`]; whoever drops the set ends all tasks of
 //! the daemon. What the daemon needs of the machine comes through [`ports`].
+mod accept_failure;
 mod admin_server;
 mod checkpoint;
 mod class_registry;
@@ -28,6 +29,7 @@
 mod peer_reporting;
 mod poll_schedule;
 pub mod ports;
+mod ready_stream;
 mod recovery;
 mod resource_budget;
 mod standby;
--- a/src/daemon/system.rs
+++ b/src/daemon/system.rs
@@ -1,5 +1,6 @@
 //! The ports as this machine's own system offers them.
 use super::ports::{AppendFile, Datagrams, Listener, LocalFuture, Log, Network, Storage, Stream, WallClock};
+use super::ready_stream::ReadyStream;
 use socket2::SockRef;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Seek, SeekFrom, Write};
@@ -35,11 +36,11 @@
 /// TCP and UDP of this machine.
 pub struct Tcp;
 
-struct TcpConnection(TcpStream);
+struct TcpConnection(ReadyStream<TcpStream>);
 
 impl Network for Tcp {
     fn connect(&self, to: SocketAddr) -> LocalFuture<'_, io::Result<Box<dyn Stream>>> {
-        Box::pin(async move { opened(TcpStream::connect(to).await?) })
+        Box::pin(async move { opened(uninterrupted(|| TcpStream::connect(to)).await?) })
     }
 
     fn listen(&self, at: SocketAddr) -> LocalFuture<'_, io::Result<Box<dyn Listener>>> {
@@ -57,14 +58,24 @@
     }
 }
 
+/// Repeats an operation until no signal interrupts it.
+async fn uninterrupted<T, F: Future<Output = io::Result<T>>>(operation: impl Fn() -> F) -> io::Result<T> {
+    loop {
+        match operation().await {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            outcome => return outcome,
+        }
+    }
+}
+
 fn opened(stream: TcpStream) -> io::Result<Box<dyn Stream>> {
     stream.set_nodelay(true)?;
-    Ok(Box::new(TcpConnection(stream)))
+    Ok(Box::new(TcpConnection(ReadyStream(stream))))
 }
 
 impl Listener for TcpListener {
     fn accept(&self) -> LocalFuture<'_, io::Result<Box<dyn Stream>>> {
-        Box::pin(async move { opened(TcpListener::accept(self).await?.0) })
+        Box::pin(async move { opened(uninterrupted(|| TcpListener::accept(self)).await?.0) })
     }
 
     fn local_addr(&self) -> io::Result<SocketAddr> {
@@ -92,7 +103,7 @@
 
 impl Stream for TcpConnection {
     fn is_fresh(&self) -> io::Result<()> {
-        match SockRef::from(&self.0).peek(&mut [MaybeUninit::uninit()]) {
+        match SockRef::from(&self.0.0).peek(&mut [MaybeUninit::uninit()]) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
             Err(error) => Err(error),
             Ok(_) => Err(io::ErrorKind::ConnectionAborted.into()),
