--- a/crates/micadrum-config/src/lib.rs
+++ b/crates/micadrum-config/src/lib.rs
@@ -22,7 +22,7 @@
 pub use peers::Peers;
 use peers::RawPeers;
 use recovery::RawRecovery;
-pub use recovery::Recovery;
+pub use recovery::{DEFAULT_BOOT_ID_FILE, Recovery};
 use serde::Deserialize;
 
 /// The operator's configuration.
--- a/crates/micadrum-config/src/recovery.rs
+++ b/crates/micadrum-config/src/recovery.rs
@@ -9,7 +9,8 @@
 const MAX_ADMISSION_RAMP: Span = Span::seconds(120);
 const MAX_DEDUPLICATION_HOLD: Span = Span::seconds(3600);
 const DEFAULT_ADMISSIONS_PER_SECOND: f64 = 100.0;
-const DEFAULT_BOOT_ID_FILE: &str = "/proc/sys/kernel/random/boot_id";
+/// The file in which Linux names the boot.
+pub const DEFAULT_BOOT_ID_FILE: &str = "/proc/sys/kernel/random/boot_id";
 
 const PEER_QUERY_TIMEOUT: SpanSetting =
     SpanSetting { key: "ask_for", default: Span::seconds(1), min: Span(0), max: MAX_PHASE };
--- a/crates/micadrum-testkit/src/sim/fleet.rs
+++ b/crates/micadrum-testkit/src/sim/fleet.rs
@@ -41,6 +41,10 @@
         let micros = (EPOCH + self.origin.elapsed()).as_micros() as u64;
         Duration::from_micros(micros.saturating_add_signed(self.offset_us))
     }
+
+    fn monotonic(&self) -> Duration {
+        self.origin.elapsed()
+    }
 }
 
 /// The log of one sender, printed where that is wanted.
--- a/src/daemon/environment.rs
+++ b/src/daemon/environment.rs
@@ -1,5 +1,6 @@
 //! What stays fixed for the life of a process, and the steps of its startup that build on that.
 use super::admin_server::AdminContext;
+use super::clock::{Clock, Predecessor};
 use super::config::Config;
 use super::config_schema::ConfigSchema;
 use super::discovery::{self, Agent};
@@ -51,6 +52,7 @@
 /// An open journal, and what the recovery found beside it.
 pub struct OpenedJournal {
     journal: Journal,
+    clock: Clock,
     recovery_start: RecoveryStart,
 }
 
@@ -135,22 +137,27 @@
         membership: Option<&membership::Handle>,
     ) -> Result<OpenedJournal, StartError> {
         let (ports, config, disk) = (&self.ports, &start.config, self.budget.disk_bytes);
-        let (journal, corruption, recovery_start) = match &config.operator.recovery {
+        let (journal, clock, corruption, recovery_start) = match &config.operator.recovery {
             Some(settings) if start.inheritance.is_none() => {
                 let context =
                     RecoveryContext { settings, config, ports, disk_bytes: disk, peers: membership };
                 let recovered = recovery::recover(&self.recovery, &context).await?;
-                (recovered.journal, recovered.corruption, recovered.start)
+                (recovered.journal, recovered.clock, recovered.corruption, recovered.start)
             }
             _ => {
                 let (journal, corruption) = Journal::open(ports.storage.clone(), disk)?;
-                (journal, corruption, RecoveryStart::default())
+                let predecessor = match start.inheritance {
+                    Some(_) => Predecessor::HandsOver,
+                    None => Predecessor::Ended,
+                };
+                let clock = Clock::resume(&journal, predecessor, ports);
+                (journal, clock, corruption, RecoveryStart::default())
             }
         };
         if corruption != CorruptionReport::default() {
             ports.log.line(&format!("journal: {corruption}"));
         }
-        Ok(OpenedJournal { journal, recovery_start })
+        Ok(OpenedJournal { journal, clock, recovery_start })
     }
 
     /// Sets up an event loop that takes over the messages in the journal.
@@ -165,7 +172,7 @@
         notifications: UnboundedSender<Notification>,
     ) -> Result<EventLoop, StartError> {
         let LoopStart { config, inheritance, metrics } = start;
-        let OpenedJournal { journal, recovery_start } = journal;
+        let OpenedJournal { journal, clock, recovery_start } = journal;
         let channels = EventLoopChannels {
             events: self.events.clone(),
             notifications,
@@ -181,6 +188,7 @@
             metrics,
             recovery: self.recovery.clone(),
             recovery_start,
+            clock,
         };
         Ok(EventLoop::new(start, journal, channels, self.budget, self.ports.clone())?)
     }
--- a/src/daemon/event_loop/checkpointing.rs
+++ b/src/daemon/event_loop/checkpointing.rs
@@ -2,11 +2,12 @@
 use super::EventLoop;
 use super::endpoint_table::TrackedEndpoint;
 use crate::daemon::checkpoint::file::{CheckpointFile, CheckpointWrite};
-use crate::daemon::checkpoint::restore::{Continuity, ObservedEndpoint, restore};
+use crate::daemon::checkpoint::restore::{Continuity, ObservationTimes, ObservedEndpoint, restore};
 use crate::daemon::checkpoint::schedule::{CheckpointSchedule, CheckpointStep};
 use crate::daemon::checkpoint::{Checkpoint, DiscoveryVersion, EndpointCheckpoint};
+use crate::daemon::clock::ClockContinuity;
 use crate::daemon::endpoint_list::EndpointList;
-use crate::{EndpointId, RouteSnapshot, Timestamp};
+use crate::{EndpointId, RouteSnapshot, TimeDelta, Timestamp};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::RngCore;
 use std::io;
@@ -73,7 +74,12 @@
             CheckpointAge::Current => Continuity::Handover,
             CheckpointAge::Restart(_) => Continuity::Restart,
         };
-        let restored = restore(checkpoint, &configured, continuity, now);
+        let times = ObservationTimes {
+            now,
+            wall_lead: TimeDelta(self.clock.wall_lead()),
+            is_known: self.clock.continuity() == ClockContinuity::Continued,
+        };
+        let restored = restore(checkpoint, &configured, continuity, times);
         if restored.excluded > 0 {
             self.log(format_args!(
                 "checkpoint: endpoints stay out of service, an earlier process heard that they drain or are removed \
@@ -120,7 +126,7 @@
         let CheckpointAge::Restart(random) = age else { return route };
         let fraction = f64::from(random.next_u32()) / f64::from(u32::MAX);
         let settings = &self.configuration.settings;
-        if self.recovery.status.trusts_clock() {
+        if self.recovery.status.trusts_clock() && self.clock.continuity() == ClockContinuity::Continued {
             route.aged(written_at, now, fraction, settings)
         } else {
             route.aged_without_clock(written_at, now, fraction, settings)
--- a/src/daemon/event_loop/construction.rs
+++ b/src/daemon/event_loop/construction.rs
@@ -2,7 +2,6 @@
 use super::admin::{MetricsRecorder, PublishedConfiguration};
 use super::calls::CallTable;
 use super::checkpointing::{CheckpointAge, Checkpointing};
-use super::clock::Clock;
 use super::configuration::{ActiveConfiguration, EventLoopError, idle_timeout, polling_terms, report_fields};
 use super::durable_effects::DurableEffects;
 use super::endpoint_table::EndpointTable;
@@ -74,7 +73,8 @@
         budget: ResourceBudget,
         ports: Ports,
     ) -> Result<Self, EventLoopError> {
-        let EventLoopConfig { config, schema, seed, inheritance, metrics, recovery, recovery_start } = start;
+        let EventLoopConfig { config, schema, seed, inheritance, metrics, recovery, recovery_start, clock } =
+            start;
         let EarlierState { file, checkpoint, classes, age } =
             EarlierState::load(inheritance, &config.name, seed, &ports);
         let (storage, log) = (&*ports.storage, &*ports.log);
@@ -109,7 +109,7 @@
             lifecycle: Lifecycle::new(listener),
             metrics: MetricsRecorder::new(metrics),
             trace: Trace::new(ports.traces.calls, ports.log.clone()),
-            clock: Clock::new(&*ports.wall),
+            clock,
             tasks: JoinSet::new(),
             events,
             ports,
@@ -134,6 +134,7 @@
         self.apply_restrictions(recovery_start.restrictions);
         self.recover_messages();
         self.store_classes();
+        self.adopt_journal_times();
         self.stamp_journal(recovery_start.stamp);
         self.step();
         self.write_full_checkpoint();
--- a/src/daemon/event_loop/mod.rs
+++ b/src/daemon/event_loop/mod.rs
@@ -8,7 +8,6 @@
 mod admission;
 mod calls;
 mod checkpointing;
-mod clock;
 mod configuration;
 mod construction;
 mod durable_effects;
@@ -21,6 +20,7 @@
 mod step;
 mod step_queue;
 
+use super::clock::Clock;
 use super::config::Config;
 use super::config_schema::ConfigSchema;
 use super::events::{ListenerState, LoopEvent};
@@ -37,7 +37,6 @@
 use admin::{MetricsRecorder, PublishedConfiguration};
 use calls::CallTable;
 use checkpointing::Checkpointing;
-use clock::Clock;
 use configuration::ActiveConfiguration;
 pub use configuration::EventLoopError;
 use durable_effects::DurableEffects;
@@ -111,6 +110,8 @@
     pub recovery: RecoveryStatus,
     /// What the recovery found at the start.
     pub recovery_start: RecoveryStart,
+    /// The clock, which continues that of the journal's earlier processes.
+    pub clock: Clock,
 }
 
 impl EventLoop {
--- a/src/daemon/event_loop/recovery.rs
+++ b/src/daemon/event_loop/recovery.rs
@@ -1,6 +1,7 @@
 //! Recovery after a restart: which messages of the journal end at once, and which are sent in which phase.
 use super::EventLoop;
 use super::configuration::recovered_class;
+use crate::daemon::clock::ClockContinuity;
 use crate::daemon::events::{InvalidMessage, ListenerState};
 use crate::daemon::journal::{Attempt, AttemptEffect, FinalOutcome, PendingMessage};
 use crate::daemon::notifications::Notification;
@@ -12,6 +13,8 @@
 use std::collections::BTreeMap;
 use tokio::time::Instant;
 
+/// Stands for a moment that nobody knows any more: every window since then is over.
+const LONG_AGO: u64 = 0;
 /// Stands for a zone that the settings no longer name.
 const UNKNOWN_ZONE: ZoneId = ZoneId(usize::MAX);
 
@@ -144,9 +147,58 @@
             Verdict::Fail | Verdict::Discard => return Some(FinalOutcome::Failed),
         }
         self.reset_deadline(number, class, pending);
+        if self.doubts_journal_times() {
+            self.assume_cautious_times(number, class, pending);
+        }
         None
     }
 
+    /// Whether nobody knows how long ago the times in the journal are, and the recovery does not judge them.
+    pub(super) fn doubts_journal_times(&self) -> bool {
+        let is_judged_elsewhere = self.configuration.config.operator.recovery.is_some();
+        self.clock.continuity() == ClockContinuity::Unknown && !is_judged_elsewhere
+    }
+
+    /// Takes the cautious side of each time of a message: its destination has forgotten the key, and it has no more time left
+    /// than a new message of its class.
+    fn assume_cautious_times(&mut self, number: u32, class: ClassId, pending: &mut PendingMessage) {
+        if pending.final_outcome.is_some() {
+            return;
+        }
+        let time_to_live = self.configuration.settings.classes[class.0].deadline.0;
+        let latest_deadline = self.clock.now().0.saturating_add(time_to_live);
+        if pending.deadline > latest_deadline {
+            pending.deadline = latest_deadline;
+            let recorded = self.messages.journal.set_deadline(number, latest_deadline);
+            self.check_recorded(recorded);
+        }
+        let attempt = pending.first_uncertain_attempt.as_ref().or(pending.active_attempt.as_ref()).cloned();
+        if let Some(attempt) = attempt.filter(|_| self.repeats(class) == Redelivery::HarmlessWithinWindow) {
+            self.record_uncertain_attempt(number, Attempt { started_at: LONG_AGO, ..attempt }, pending);
+        }
+    }
+
+    /// Continues the journal's times with those of this process, once all messages have times of this process.
+    pub(super) fn adopt_journal_times(&mut self) {
+        if self.doubts_journal_times() {
+            self.messages.journal.reset_clock(self.clock.now().0);
+            self.rewrite_on_new_clock();
+        }
+        if let Some(anchor) = self.clock.new_anchor() {
+            let recorded = self.messages.journal.anchor_clock(anchor);
+            self.check_recorded(recorded);
+        }
+    }
+
+    fn rewrite_on_new_clock(&mut self) {
+        if let Err(error) = self.messages.journal.rewrite() {
+            self.log(format_args!(
+                "journal: not rewritten on the new clock, IDs of completed messages may be forgotten early \
+                 error={error}"
+            ));
+        }
+    }
+
     /// Records that a message may have run: a successor on this boot of the machine trusts the journal to be
     /// complete.
     fn record_uncertain_attempt(&mut self, number: u32, attempt: Attempt, pending: &mut PendingMessage) {
@@ -180,12 +232,7 @@
         let Some(stamp) = stamp else { return };
         if !self.recovery.status.trusts_clock() {
             self.messages.journal.reset_clock(self.clock.now().0);
-            if let Err(error) = self.messages.journal.rewrite() {
-                self.log(format_args!(
-                    "journal: not rewritten on the new clock, IDs of completed messages may be forgotten early \
-                     error={error}"
-                ));
-            }
+            self.rewrite_on_new_clock();
         }
         let recorded = self.messages.journal.stamp(stamp);
         self.check_recorded(recorded);
--- a/src/daemon/ingress/mod.rs
+++ b/src/daemon/ingress/mod.rs
@@ -228,15 +228,14 @@
     let (reply, response) = oneshot::channel();
     let deadline = received_at + submission.remaining;
     let _ = context.events.send(LoopEvent::Submit { message: submission.message, deadline, reply });
-    let response = match response.await {
+    match response.await {
         // An event loop that handed over has accepted nothing.
         Err(_) if context.is_handing_over() => {
             context.forward_to_successor(Method::POST, "/api", &head.headers, body).await
         }
         // Nor has one that has ended.
         response => submit_response(response.unwrap_or(SubmitResponse::Rejected)),
-    };
-    response
+    }
 }
 
 fn submit_response(response: SubmitResponse) -> Response<Full<Bytes>> {
--- a/src/daemon/journal/compaction.rs
+++ b/src/daemon/journal/compaction.rs
@@ -74,7 +74,8 @@
             not_before: bound.not_before,
         });
         // No other record of a rewritten file mentions the latest time.
-        let latest = state.stamp.iter().map(|_| Record::AcceptedNotBefore {
+        let has_times = state.stamp.is_some() || state.clock_anchor.is_some();
+        let latest = has_times.then(|| Record::AcceptedNotBefore {
             first_number: state.next_number,
             not_before: state.times.latest(),
         });
@@ -85,6 +86,7 @@
         let ids: Vec<CompletedId> = state.completed.iter().collect();
         let ids: Vec<Record> =
             ids.chunks(MAX_IDS_IN_RECORD).map(|ids| Record::CompletedIds(ids.to_vec())).collect();
-        stamp.chain(bounds).chain(latest).chain(pending).chain(ids)
+        let anchor = state.clock_anchor.iter().map(|anchor| Record::ClockAnchored(*anchor));
+        stamp.chain(anchor).chain(bounds).chain(latest).chain(pending).chain(ids)
     }
 }
--- a/src/daemon/journal/mod.rs
+++ b/src/daemon/journal/mod.rs
@@ -24,6 +24,7 @@
 mod replay;
 mod reserve;
 
+use super::clock::ClockAnchor;
 use super::frame::append_frame;
 use super::ports::{AppendFile, LocalFuture, Storage};
 pub use error::JournalError;
@@ -208,6 +209,19 @@
         self.append(Record::Stamped(stamp))
     }
 
+    /// Records an anchor of the times that follow.
+    ///
+    /// # Errors
+    /// As for [`Journal::end_attempt`]: a later process is only more cautious without the record.
+    pub fn anchor_clock(&mut self, anchor: ClockAnchor) -> Result<(), JournalError> {
+        self.append(Record::ClockAnchored(anchor))
+    }
+
+    /// Returns the anchor of the journal's times.
+    pub fn clock_anchor(&self) -> Option<&ClockAnchor> {
+        self.state.clock_anchor.as_ref()
+    }
+
     /// Records that messages accepted from now on were not accepted before `now`.
     ///
     /// # Errors
--- a/src/daemon/journal/record.rs
+++ b/src/daemon/journal/record.rs
@@ -4,6 +4,7 @@
 //! position. Variants and fields may be renamed; new variants are added at the end only, and fields are never inserted,
 //! removed or reordered, so that files of earlier versions stay readable. `tests/record.rs` pins the bytes.
 use super::pending::PendingMessage;
+use crate::daemon::clock::ClockAnchor;
 use bytes::Bytes;
 use micadrum_recovery::JournalStamp;
 use serde::{Deserialize, Serialize};
@@ -46,7 +47,8 @@
     pub expires_at: u64,
 }
 
-/// One record. `number` is the message's number in the journal; times are wall clock, microseconds.
+/// One record. `number` is the message's number in the journal; times are the engine's (see [`crate::daemon::clock`]), in
+/// microseconds.
 #[derive(Serialize, Deserialize)]
 pub(super) enum Record {
     /// The message was accepted. A rewritten journal has one such record for each pending message, with its state.
@@ -73,6 +75,8 @@
     DeadlineChanged { number: u32, deadline: u64 },
     /// The attempt that was recorded as started was held back before any byte of it was sent, and does not count.
     AttemptDeferred { number: u32 },
+    /// From here on, times are the engine's time that this anchor continues.
+    ClockAnchored(ClockAnchor),
 }
 
 impl Record {
--- a/src/daemon/journal/replay.rs
+++ b/src/daemon/journal/replay.rs
@@ -8,6 +8,7 @@
 use super::pending::PendingTable;
 use super::record::Record;
 use super::reserve::CapacityLimits;
+use crate::daemon::clock::ClockAnchor;
 use crate::daemon::frame::read_frame;
 use micadrum_recovery::JournalStamp;
 use std::fmt;
@@ -45,6 +46,8 @@
     pub next_number: u32,
     /// The process that appended last, and where it ran.
     pub stamp: Option<JournalStamp>,
+    /// The anchor of the times that follow.
+    pub clock_anchor: Option<ClockAnchor>,
     pub times: AcceptanceTimes,
 }
 
@@ -55,6 +58,7 @@
             completed: CompletedIds::new(limits.completed_ids()),
             next_number: 0,
             stamp: None,
+            clock_anchor: None,
             times: AcceptanceTimes::default(),
         }
     }
@@ -114,6 +118,10 @@
                 self.times.reset_latest(stamp.wall);
                 self.stamp = Some(stamp);
             }
+            Record::ClockAnchored(anchor) => {
+                self.times.observe(anchor.engine_us);
+                self.clock_anchor = Some(anchor);
+            }
             Record::AcceptedNotBefore { first_number, not_before } => {
                 self.times.push(AcceptanceBound { first_number, not_before });
             }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -7,6 +7,7 @@
 mod checkpoint;
 mod class_registry;
 mod client_listener;
+mod clock;
 pub mod config;
 mod config_schema;
 mod connection;
--- a/src/daemon/ports.rs
+++ b/src/daemon/ports.rs
@@ -16,10 +16,13 @@
 /// A future that stays on its thread, as the whole daemon does.
 pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
-/// The clock that all machines share, as far as they are synchronised.
+/// The clocks of a machine: the one that all machines share, as far as they are synchronised, and one that is never set.
 pub trait WallClock {
-    /// Returns the time since the Unix epoch.
+    /// Returns the time since the Unix epoch. The clock may be stepped at any time.
     fn now(&self) -> Duration;
+
+    /// Returns the time since some moment that stays the same for all processes of one boot of the machine.
+    fn monotonic(&self) -> Duration;
 }
 
 /// An open connection. Dropping it closes it.
@@ -169,7 +172,7 @@
 /// All ports, as one process of the daemon gets them.
 #[derive(Clone)]
 pub struct Ports {
-    /// The wall clock.
+    /// The clocks of the machine.
     pub wall: Rc<dyn WallClock>,
     /// The network.
     pub network: Rc<dyn Network>,
--- a/src/daemon/recovery/mod.rs
+++ b/src/daemon/recovery/mod.rs
@@ -5,6 +5,7 @@
 
 pub use status::RecoveryStatus;
 
+use super::clock::{Clock, ClockContinuity, Predecessor};
 use super::config::Config;
 use super::journal::{CorruptionReport, Journal, JournalError};
 use super::membership;
@@ -33,6 +34,7 @@
 /// A journal that was read and assessed.
 pub struct RecoveredJournal {
     pub journal: Journal,
+    pub clock: Clock,
     pub corruption: CorruptionReport,
     pub start: RecoveryStart,
 }
@@ -56,7 +58,7 @@
     context: &RecoveryContext<'_>,
 ) -> Result<RecoveredJournal, JournalError> {
     let origin = Instant::now();
-    let AssessedJournal { journal, corruption, mut trust } = open_journal(context)?;
+    let AssessedJournal { journal, clock, corruption, mut trust } = open_journal(context)?;
     let settings = phase_settings(context.settings);
     // From here on, other members that query this sender learn that it recovers.
     status.start(RecoveryParameters {
@@ -74,15 +76,21 @@
     let stamp = JournalStamp {
         sender: context.config.name.clone(),
         boot: context.ports.boot,
-        wall: wall_us(context.ports),
+        wall: clock.now().0,
         survives_machine_crash: matches!(context.config.operator.durability, Durability::Machine { .. }),
     };
     status.finish_query(QueriedTrust { trust, peer_query });
-    Ok(RecoveredJournal { journal, corruption, start: RecoveryStart { restrictions, stamp: Some(stamp) } })
+    Ok(RecoveredJournal {
+        journal,
+        clock,
+        corruption,
+        start: RecoveryStart { restrictions, stamp: Some(stamp) },
+    })
 }
 
 struct AssessedJournal {
     journal: Journal,
+    clock: Clock,
     corruption: CorruptionReport,
     trust: Trust,
 }
@@ -91,10 +99,15 @@
 fn open_journal(context: &RecoveryContext<'_>) -> Result<AssessedJournal, JournalError> {
     let storage = &context.ports.storage;
     let (mut journal, corruption) = Journal::open(storage.clone(), context.disk_bytes)?;
+    let mut clock = Clock::resume(&journal, Predecessor::Ended, context.ports);
+    if clock.continuity() == ClockContinuity::Unknown {
+        // The recovery itself decides what the times in the journal are worth, by the machine's clock and by peers.
+        clock = clock.restarted_at_wall_time(context.ports);
+    }
     let trust = Trust::assess(&RecoveryInputs {
         own_name: &context.config.name,
         boot: context.ports.boot,
-        wall: wall_us(context.ports),
+        wall: clock.now().0,
         trusts_clock: context.settings.trusts_clock,
         stamp: journal.last_stamp(),
         latest_wall: journal.latest_time(),
@@ -106,8 +119,9 @@
         drop(journal);
         Journal::set_aside(&**storage)?;
         journal = Journal::open(storage.clone(), context.disk_bytes)?.0;
+        clock = Clock::resume(&journal, Predecessor::Ended, context.ports);
     }
-    Ok(AssessedJournal { journal, corruption, trust })
+    Ok(AssessedJournal { journal, clock, corruption, trust })
 }
 
 fn phase_settings(recovery: &Recovery) -> Settings {
@@ -159,10 +173,6 @@
     }
 }
 
-fn wall_us(ports: &Ports) -> u64 {
-    ports.wall.now().as_micros() as u64
-}
-
 /// Writes the time into the journal now and then, so that a later process knows a time before which the following messages
 /// were not accepted.
 #[derive(Default)]
--- a/src/daemon/system.rs
+++ b/src/daemon/system.rs
@@ -1,6 +1,7 @@
 //! The ports as this machine's own system offers them.
 use super::ports::{AppendFile, Datagrams, Listener, LocalFuture, Log, Network, Storage, Stream, WallClock};
 use super::ready_stream::ReadyStream;
+use rustix::time::{ClockId, clock_gettime};
 use socket2::SockRef;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Seek, SeekFrom, Write};
@@ -14,13 +15,19 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
-/// The system's wall clock.
+/// The system's clocks.
 pub struct SystemClock;
 
 impl WallClock for SystemClock {
     fn now(&self) -> Duration {
         SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
     }
+
+    fn monotonic(&self) -> Duration {
+        let time = clock_gettime(ClockId::Monotonic);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or_default())
+    }
 }
 
 /// Standard error.
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,8 +7,8 @@
 use micadrum::daemon::ports::{HandoverConfig, Ports, Traces};
 use micadrum::daemon::system::{Folder, StandardError, SystemClock, Tcp};
 use micadrum::daemon::{self, Signal};
-use micadrum_config::OperatorConfig;
 use micadrum_config::peers::parse_key;
+use micadrum_config::{DEFAULT_BOOT_ID_FILE, OperatorConfig};
 use micadrum_recovery::Boot;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -91,9 +91,10 @@
     parse_key(text.trim()).ok_or_else(|| StartError::InvalidSecret(path.to_owned()))
 }
 
-/// Reads the kernel's boot id, if recovery is enabled and the id is available.
+/// Reads the kernel's boot id, if it is available.
 fn read_boot(operator: &OperatorConfig) -> Option<Boot> {
-    let text = std::fs::read_to_string(&operator.recovery.as_ref()?.boot_id_file).ok()?;
+    let configured = operator.recovery.as_ref().map(|recovery| recovery.boot_id_file.as_str());
+    let text = std::fs::read_to_string(configured.unwrap_or(DEFAULT_BOOT_ID_FILE)).ok()?;
     Boot::parse(&text)
 }
 
--- a/tests/compatibility/schema.rs
+++ b/tests/compatibility/schema.rs
@@ -22,6 +22,7 @@
         ("Ran", Fields(vec![("number", Number), ("attempt", attempt())])),
         ("Deadline", Fields(vec![("number", Number), ("deadline", Varying)])),
         ("Withheld", Number),
+        ("Anchored", Fields(vec![("boot", VaryingArray(16)), ("monotonic", Varying), ("engine", Varying)])),
     ])
 }
 
