--- a/src/daemon/journal/tests/mod.rs
+++ b/src/daemon/journal/tests/mod.rs
@@ -2,6 +2,7 @@
 mod capacity;
 mod compaction;
 mod completed_ids;
+mod failing_folder;
 mod record;
 mod replay;
 
--- a/tests/sockets/system_calls.rs
+++ b/tests/sockets/system_calls.rs
@@ -93,3 +93,44 @@
     assert_eq!(call.id(), "m1");
     call.ok();
 }
+
+/// Guards against a start that fails with the folder, and against a message that is lost with it: the sender refuses until it
+/// can keep what it accepts, and delivers what it owes.
+#[tokio::test]
+async fn a_folder_that_cannot_be_written_delays_no_start() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let members = [member("s-1", endpoint.address, "single", "SERVING")];
+    let mut node = Node::start_with_faults(&platform, &members, |_| {}).await;
+    assert_eq!(node.hand_in("m1", "keyed", "").await.status(), 202);
+    let call = endpoint.call().await;
+    node.kill();
+    drop(call);
+    node.faults().begin(Fault::always(FaultKind::FolderWrite)).unwrap();
+    node.faults().begin(Fault::always(FaultKind::TornWrite)).unwrap();
+    node.begin().await;
+    assert_eq!(node.hand_in("m2", "unsafe", "").await.status(), 503);
+    assert!(node.faults().count(FaultKind::FolderWrite).unwrap().injected > 0);
+    node.faults().end(FaultKind::FolderWrite).unwrap();
+    let call = endpoint.call().await;
+    assert_eq!(call.id(), "m1");
+    call.ok();
+    assert_eq!(node.hand_in("m3", "unsafe", "").await.status(), 202);
+    endpoint.call().await.ok();
+}
+
+/// Guards against a journal that is set aside for an error that passes.
+#[tokio::test]
+async fn a_journal_that_cannot_be_read_for_a_while_is_read_later() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let members = [member("s-1", endpoint.address, "single", "SERVING")];
+    let mut node = Node::start_with_faults(&platform, &members, |_| {}).await;
+    assert_eq!(node.hand_in("m1", "keyed", "").await.status(), 202);
+    let call = endpoint.call().await;
+    node.kill();
+    drop(call);
+    node.faults().begin(Fault::always(FaultKind::FolderRead).at_most(5)).unwrap();
+    node.begin().await;
+    let call = endpoint.call().await;
+    assert_eq!(call.id(), "m1");
+    call.ok();
+}
