A folder that fails for a while costs no message, no start and no early end

Nothing is appended before the torn tail is cut. An end whose record is not written is held back until it is, or until its deadline, after which nobody sends the message. An error at the first sync delays effects instead of ending the process.

--- a/src/daemon/accept_failure.rs
+++ b/src/daemon/accept_failure.rs
@@ -1,10 +1,6 @@
-//! What an error of `accept` says, and how much of it is logged. No I/O and no clock.
+//! What an error of `accept` says. No I/O and no clock.
 use rustix::io::Errno;
 use std::io;
-use std::time::Duration;
-
-/// Errors of `accept` are logged at most this often.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What has to happen before the next connection can be accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,25 +39,5 @@
     }
 }
 
-/// Bounds what is logged of errors that may come in any number.
-#[derive(Default)]
-pub struct ErrorLogLimit {
-    logged_at: Option<Duration>,
-    suppressed: u64,
-}
-
-impl ErrorLogLimit {
-    /// Notes an error at a time since any fixed moment. Returns how many errors were not logged since the last one that
-    /// was, if this one is to be logged.
-    pub fn admit(&mut self, now: Duration) -> Option<u64> {
-        if self.logged_at.is_some_and(|logged_at| now < logged_at + LOG_INTERVAL) {
-            self.suppressed += 1;
-            return None;
-        }
-        self.logged_at = Some(now);
-        Some(std::mem::take(&mut self.suppressed))
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/daemon/admin_server.rs
+++ b/src/daemon/admin_server.rs
@@ -1,7 +1,7 @@
 //! The admin endpoint: status, metrics and maintenance for operators, on a socket of its own.
 //!
 //! It serves one request a connection and has limits of its own, so that neither clients nor operators keep each other out.
-use super::accept_failure::ErrorLogLimit;
+use super::error_log_limit::ErrorLogLimit;
 use super::events::{AdminError, AdminRequest, ListenerState, LoopEvent, MaintenanceChange};
 use super::ingress::{ConnectionLimits, ConnectionPermit, LingeringClose, collect, plain};
 use super::membership::{ViewQuery, Views};
--- a/src/daemon/environment.rs
+++ b/src/daemon/environment.rs
@@ -16,7 +16,7 @@
 use super::recovery::{self, RecoveryContext, RecoveryStart, RecoveryStatus};
 use super::resource_budget::ResourceBudget;
 use super::watch_cell::WatchCell;
-use super::{Signal, StartError, admin_server, membership, peer_reporting};
+use super::{Signal, StartError, admin_server, journal_opening, membership, peer_reporting};
 use micadrum_config::{Durability, OperatorConfig};
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -145,7 +145,7 @@
                 (recovered.journal, recovered.clock, recovered.corruption, recovered.start)
             }
             _ => {
-                let (journal, corruption) = Journal::open(ports.storage.clone(), disk)?;
+                let (journal, corruption) = journal_opening::open_journal(ports, disk).await;
                 let predecessor = match start.inheritance {
                     Some(_) => Predecessor::HandsOver,
                     None => Predecessor::Ended,
--- a/src/daemon/event_loop/admission.rs
+++ b/src/daemon/event_loop/admission.rs
@@ -77,7 +77,9 @@
             }
             Err(error) => {
                 self.metrics.counts.record_rejected(&class);
-                self.log(format_args!("admission: message rejected, it cannot be recorded error={error}"));
+                self.log_folder_error(format_args!(
+                    "admission: message rejected, it cannot be recorded error={error}"
+                ));
                 SubmitResponse::Rejected
             }
         }
--- a/src/daemon/event_loop/calls.rs
+++ b/src/daemon/event_loop/calls.rs
@@ -86,7 +86,9 @@
                 // An attempt that a restart would not know of must not go out. It counts as none, and the message waits
                 // for space.
                 deferred.push((MessageId(number), pending.attempts_started));
-                self.log(format_args!("calls: attempt deferred, it cannot be recorded error={error}"));
+                self.log_folder_error(format_args!(
+                    "calls: attempt deferred, it cannot be recorded error={error}"
+                ));
                 continue;
             }
             batch.push(BatchedMessage {
@@ -239,9 +241,16 @@
             class,
             pending.attempts_started,
         );
+        let deadline = Timestamp(pending.deadline);
         let recorded = self.messages.finish(number, outcome);
+        let is_recorded = recorded.is_ok() || !self.messages.journal.lacks_records();
         self.check_recorded(recorded);
-        self.perform_when_durable(DeferredEffect::Notification(Notification { number, id, outcome }));
+        let notification = Notification { number, id, outcome };
+        if is_recorded {
+            self.perform_when_durable(DeferredEffect::Notification(notification));
+        } else {
+            self.journal_repair.hold_end(deadline, notification);
+        }
     }
 
     /// Removes a message for which nothing is left to do.
@@ -253,10 +262,12 @@
     /// Logs a record that could not be written: the next compaction makes good for it, and the sender goes on.
     pub(super) fn check_recorded(&mut self, recorded: Result<(), JournalError>) {
         if let Err(error) = recorded {
-            self.log(format_args!("{error}"));
+            self.log_folder_error(format_args!("{error}"));
         }
         if let Some(error) = self.messages.journal.take_compaction_error() {
-            self.log(format_args!("journal: compaction failed, the old file stays error={error}"));
+            self.log_folder_error(format_args!(
+                "journal: compaction failed, the old file stays error={error}"
+            ));
         }
     }
 }
--- a/src/daemon/event_loop/construction.rs
+++ b/src/daemon/event_loop/construction.rs
@@ -5,6 +5,7 @@
 use super::configuration::{ActiveConfiguration, EventLoopError, idle_timeout, polling_terms, report_fields};
 use super::durable_effects::DurableEffects;
 use super::endpoint_table::EndpointTable;
+use super::journal_repair::JournalRepair;
 use super::message_table::MessageTable;
 use super::recovery::RecoveryProgress;
 use super::shutdown::Lifecycle;
@@ -65,7 +66,7 @@
     /// Sets up an event loop that takes over the messages in `journal`.
     ///
     /// # Errors
-    /// The settings cannot be used, or the journal cannot be made durable.
+    /// The settings cannot be used.
     pub fn new(
         start: EventLoopConfig,
         journal: Journal,
@@ -105,6 +106,7 @@
             messages: MessageTable::new(journal),
             notifications,
             durable_effects: DurableEffects::new(&configuration.config.operator),
+            journal_repair: JournalRepair::default(),
             checkpointing: Checkpointing::new(file, CheckpointSchedule::new(budget.checkpoint_bytes)),
             lifecycle: Lifecycle::new(listener),
             metrics: MetricsRecorder::new(metrics),
@@ -128,7 +130,9 @@
     ) -> Result<(), EventLoopError> {
         self.list_classes_in_metrics();
         if self.durable_effects.is_some() {
-            self.messages.journal.enable_durability()?;
+            let enabled = self.messages.journal.enable_durability();
+            // Until the file is rewritten, effects wait, and nothing is accepted.
+            self.check_recorded(enabled);
         }
         self.restore_checkpoint(checkpoint, age);
         self.apply_restrictions(recovery_start.restrictions);
--- a/src/daemon/event_loop/mod.rs
+++ b/src/daemon/event_loop/mod.rs
@@ -13,6 +13,7 @@
 mod durable_effects;
 mod endpoint_table;
 mod endpoints;
+mod journal_repair;
 mod message_table;
 mod peer_reports;
 mod recovery;
@@ -41,6 +42,7 @@
 pub use configuration::EventLoopError;
 use durable_effects::DurableEffects;
 use endpoint_table::EndpointTable;
+use journal_repair::JournalRepair;
 use message_table::MessageTable;
 use recovery::RecoveryProgress;
 pub use shutdown::HandoverState;
@@ -67,6 +69,7 @@
     notifications: UnboundedSender<Notification>,
     /// The effects that wait for their records, where records have to outlast the machine.
     durable_effects: Option<DurableEffects>,
+    journal_repair: JournalRepair,
     checkpointing: Checkpointing,
     recovery: RecoveryProgress,
     lifecycle: Lifecycle,
@@ -157,6 +160,7 @@
             self.checkpoint_due().map(|at| self.clock.instant(at)),
             self.durable_effects.as_ref().and_then(DurableEffects::due),
             self.recovery_due(),
+            self.journal_repair_due(),
         ];
         dues.into_iter().flatten().min()
     }
@@ -171,6 +175,7 @@
             self.step();
         }
         self.advance_recovery();
+        self.repair_journal(now);
         self.release_durable_effects();
         // After the step: the journal's own records come first.
         self.advance_checkpoint(now);
--- a/src/daemon/event_loop/shutdown.rs
+++ b/src/daemon/event_loop/shutdown.rs
@@ -116,6 +116,11 @@
         if self.lifecycle.handover.is_some() {
             return;
         }
+        if self.messages.journal.lacks_records() {
+            // The successor would read a journal that lacks what this process knows.
+            self.log(format_args!("handover: refused, the journal lacks records"));
+            return;
+        }
         let deadline = Instant::now() + HANDOVER_SETTLE_TIMEOUT;
         self.log(format_args!("handover: a successor asks to take over"));
         self.lifecycle.handover = Some(RequestedHandover { successor, deadline });
--- a/src/daemon/ingress/mod.rs
+++ b/src/daemon/ingress/mod.rs
@@ -8,7 +8,8 @@
 mod request_activity;
 mod submission;
 
-use super::accept_failure::{AcceptFailure, ErrorLogLimit};
+use super::accept_failure::AcceptFailure;
+use super::error_log_limit::ErrorLogLimit;
 use super::events::{ListenerState, LoopEvent, SubmitResponse};
 use super::ports::{Listener, Log, Network, Ports, Stream};
 use super::resource_budget::ResourceBudget;
--- a/src/daemon/journal/compaction.rs
+++ b/src/daemon/journal/compaction.rs
@@ -3,7 +3,7 @@
 //! A process that ends in between leaves the old file in place, with all that it holds. With durability enabled the new
 //! file is synced before the rename, and the name after it.
 use super::record::{CompletedId, Record};
-use super::{Journal, NAME, NEW_NAME};
+use super::{FileHealth, Journal, NAME, NEW_NAME, UNREADABLE_NAME};
 use crate::daemon::frame::append_frame;
 use crate::daemon::ports::AppendFile;
 use std::io;
@@ -31,9 +31,14 @@
     pub(super) fn compact(&mut self) {
         match self.write_new_file() {
             Ok(NewFile { file, length }) => {
-                (self.file, self.length) = (file, length);
-                self.compactions += 1;
+                (self.file, self.length) = (Some(file), length);
+                // From here on the old file has no name: whatever follows, the new one is the journal.
+                self.health = FileHealth { is_name_unsynced: self.is_durable, ..FileHealth::default() };
                 self.compact_at = self.limits.next_compaction_bytes(length);
+                match self.sync_name() {
+                    Ok(()) => self.compactions += 1,
+                    Err(error) => self.compaction_error = Some(error),
+                }
                 self.acquire_reserve();
             }
             Err(error) => {
@@ -44,7 +49,7 @@
         }
     }
 
-    fn write_new_file(&self) -> io::Result<NewFile> {
+    fn write_new_file(&mut self) -> io::Result<NewFile> {
         let mut new = NewFile { file: self.folder.create(NEW_NAME)?, length: 0 };
         let mut buffer = Vec::new();
         for record in self.state_as_records() {
@@ -58,10 +63,11 @@
         if self.is_durable {
             new.file.sync_now()?;
         }
-        self.folder.rename(NEW_NAME, NAME)?;
-        if self.is_durable {
-            self.folder.sync_names()?;
+        if self.health.must_set_aside {
+            self.folder.rename(NAME, UNREADABLE_NAME)?;
+            self.health.must_set_aside = false;
         }
+        self.folder.rename(NEW_NAME, NAME)?;
         Ok(new)
     }
 
--- a/src/daemon/journal/error.rs
+++ b/src/daemon/journal/error.rs
@@ -10,13 +10,18 @@
     pub(super) source: io::Error,
 }
 
+impl JournalError {
+    /// Returns the error of the system.
+    pub fn into_source(self) -> io::Error {
+        self.source
+    }
+}
+
 /// What the journal was doing when it failed.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Operation {
-    Open,
-    MoveUnreadable,
+    Read,
     MoveForeign,
-    TruncateTornTail,
     Accept,
     Append,
     Sync,
@@ -33,10 +38,8 @@
 impl fmt::Display for Operation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::Open => "open",
-            Self::MoveUnreadable => "rename of an unreadable file",
+            Self::Read => "read",
             Self::MoveForeign => "rename of another sender's file",
-            Self::TruncateTornTail => "truncate",
             Self::Accept => "accept",
             Self::Append => "append",
             Self::Sync => "sync",
--- a/src/daemon/journal/mod.rs
+++ b/src/daemon/journal/mod.rs
@@ -7,7 +7,8 @@
 //!   part of the file at the next compaction; until then a restart would repeat what it ended. The [`reserve`] makes
 //!   that rare.
 //! - Damage never keeps a sender from starting: the records that can be read count, and [`CorruptionReport`] says what
-//!   was lost.
+//!   was lost. Nor does a folder that cannot be written: nothing is accepted until it can be.
+//! - Nothing is appended behind bytes that are no complete record, or to a file that has lost its name.
 //! - The folder stays within the disk space that the journal was given.
 //!
 //! # Mechanism
@@ -57,10 +58,26 @@
     Uncertain,
 }
 
+/// How far the file can be relied on.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+struct FileHealth {
+    /// Bytes of an incomplete record may stand behind the last complete one.
+    is_tail_torn: bool,
+    /// The file may lose its name with the machine: the folder could not be synced after the rename.
+    is_name_unsynced: bool,
+    /// Records of ends could not be written, and are part of the state in memory alone.
+    lacks_records: bool,
+    /// A file that could not be read still has the journal's name, and must not be replaced.
+    must_set_aside: bool,
+}
+
 /// The open journal, with the state that its records add up to.
 pub struct Journal {
     folder: Rc<dyn Storage>,
-    file: Box<dyn AppendFile>,
+    /// None if the file could not be opened; the next compaction creates one.
+    file: Option<Box<dyn AppendFile>>,
+    /// How far the file can be relied on.
+    health: FileHealth,
     /// Bytes in the file up to the end of the last complete record.
     length: u64,
     state: JournalState,
@@ -83,29 +100,65 @@
     /// Opens the journal in `folder`, or creates one, and restores its state. The journal may take `disk_bytes`.
     ///
     /// # Errors
-    /// The file cannot be opened, or its damaged end cannot be cut off. Damage itself is reported, and no error.
+    /// The file cannot be read, for a reason that may pass. Damage is reported, and no error; nor is a file that cannot be
+    /// written.
     pub fn open(folder: Rc<dyn Storage>, disk_bytes: u64) -> Result<(Self, CorruptionReport), JournalError> {
-        let mut report = CorruptionReport::default();
-        let bytes = match folder.read(NAME) {
-            Ok(bytes) => bytes.unwrap_or_default(),
-            Err(error) => {
-                folder.rename(NAME, UNREADABLE_NAME).map_err(Operation::MoveUnreadable.failed())?;
-                report.read_error = Some(error.to_string());
-                Vec::new()
-            }
+        match folder.read(NAME) {
+            Ok(bytes) => Ok(Self::with_contents(folder, disk_bytes, &bytes.unwrap_or_default())),
+            Err(error) if is_lasting(&error) => Ok(Self::open_unreadable(folder, disk_bytes, &error)),
+            Err(error) => Err(Operation::Read.failed()(error)),
+        }
+    }
+
+    /// Creates an empty journal in place of one that cannot be read, which is set aside under another name.
+    pub fn open_unreadable(
+        folder: Rc<dyn Storage>,
+        disk_bytes: u64,
+        error: &io::Error,
+    ) -> (Self, CorruptionReport) {
+        let must_set_aside = folder.rename(NAME, UNREADABLE_NAME).is_err();
+        let (mut journal, mut report) = if must_set_aside {
+            Self::without_file(folder, disk_bytes)
+        } else {
+            Self::with_contents(folder, disk_bytes, &[])
         };
-        let mut file = folder.open(NAME).map_err(Operation::Open.failed())?;
+        journal.health.must_set_aside = must_set_aside;
+        report.read_error = Some(error.to_string());
+        (journal, report)
+    }
+
+    fn without_file(folder: Rc<dyn Storage>, disk_bytes: u64) -> (Self, CorruptionReport) {
+        let limits = CapacityLimits::new(disk_bytes);
+        let state = JournalState::new(&limits);
+        (Self::new(folder, None, limits, state, 0), CorruptionReport::default())
+    }
+
+    fn with_contents(folder: Rc<dyn Storage>, disk_bytes: u64, bytes: &[u8]) -> (Self, CorruptionReport) {
+        let mut report = CorruptionReport::default();
         let limits = CapacityLimits::new(disk_bytes);
         let mut state = JournalState::new(&limits);
-        let length = state.replay(&bytes, &mut report);
-        if report.truncated_bytes > 0 {
-            file.truncate(length).map_err(Operation::TruncateTornTail.failed())?;
-        }
+        let length = state.replay(bytes, &mut report);
+        let file = folder.open(NAME).ok();
         // A new file that did not replace the old one only takes up space.
         let _ = folder.remove(NEW_NAME);
-        let mut journal = Journal {
+        let mut journal = Self::new(folder, file, limits, state, length);
+        journal.health.is_tail_torn = report.truncated_bytes > 0;
+        let _ = journal.cut_torn_tail();
+        journal.acquire_reserve();
+        (journal, report)
+    }
+
+    fn new(
+        folder: Rc<dyn Storage>,
+        file: Option<Box<dyn AppendFile>>,
+        limits: CapacityLimits,
+        state: JournalState,
+        length: u64,
+    ) -> Self {
+        Journal {
             folder,
             file,
+            health: FileHealth::default(),
             length,
             state,
             compact_at: limits.compaction_bytes(),
@@ -116,9 +169,7 @@
             is_durable: false,
             last_sequence: 0,
             buffer: Vec::new(),
-        };
-        journal.acquire_reserve();
-        Ok((journal, report))
+        }
     }
 
     /// Renames the journal of another sender; opening the journal then creates an empty one.
@@ -280,13 +331,32 @@
     /// The system cannot sync.
     pub fn enable_durability(&mut self) -> Result<(), JournalError> {
         self.is_durable = true;
-        let synced = self.file.sync_now().and_then(|()| self.folder.sync_names());
+        let file = self.file.as_mut().ok_or_else(no_file);
+        let synced = file.and_then(|file| file.sync_now()).and_then(|()| self.folder.sync_names());
+        self.health.is_name_unsynced |= synced.is_err();
         synced.map_err(Operation::Sync.failed())
     }
 
     /// Makes what was written so far survive a crash of the machine.
-    pub fn sync(&self) -> LocalFuture<'static, io::Result<()>> {
-        self.file.sync()
+    pub fn sync(&mut self) -> LocalFuture<'static, io::Result<()>> {
+        let file = match self.sync_name() {
+            Ok(()) => self.file.as_ref().ok_or_else(no_file),
+            Err(error) => Err(error),
+        };
+        match file {
+            Ok(file) => file.sync(),
+            Err(error) => Box::pin(async { Err(error) }),
+        }
+    }
+
+    /// Whether the file lacks records that are part of the state, or cannot be relied on: [`Journal::rewrite`] mends both.
+    pub fn needs_rewrite(&self) -> bool {
+        self.file.is_none() || self.health != FileHealth::default()
+    }
+
+    /// Whether the file lacks records that are part of the state: a process after a restart would not know of them.
+    pub fn lacks_records(&self) -> bool {
+        self.health.lacks_records
     }
 
     /// Returns the sequence number of the last record: how many were appended since the journal was opened.
@@ -333,9 +403,10 @@
         let written = self.write_record(&record);
         self.last_sequence += 1;
         if written.is_ok() || !record.must_be_written() {
+            self.health.lacks_records |= written.is_err();
             self.state.apply(record);
         }
-        if self.length > self.compact_at || written.is_err() {
+        if self.length > self.compact_at || written.is_err() || self.needs_rewrite() {
             self.compact();
         }
         written.map_err(Operation::Append.failed())
@@ -366,12 +437,37 @@
     }
 
     fn write(&mut self, frame: &[u8]) -> io::Result<()> {
-        let written = self.file.append(frame);
-        if written.is_err() {
-            // A part of a record must not remain between complete ones.
-            self.file.truncate(self.length)?;
+        self.cut_torn_tail()?;
+        let file = self.file.as_mut().ok_or_else(no_file)?;
+        let written = file.append(frame);
+        match written {
+            Ok(()) => self.length += frame.len() as u64,
+            Err(_) => {
+                self.health.is_tail_torn = true;
+                // Tried again before the next record.
+                let _ = self.cut_torn_tail();
+            }
         }
-        written.map(|()| self.length += frame.len() as u64)
+        written
+    }
+
+    /// Cuts off what may stand behind the last complete record: it must not remain between complete ones.
+    fn cut_torn_tail(&mut self) -> io::Result<()> {
+        if !self.health.is_tail_torn {
+            return Ok(());
+        }
+        self.file.as_mut().ok_or_else(no_file)?.truncate(self.length)?;
+        self.health.is_tail_torn = false;
+        Ok(())
+    }
+
+    /// Makes the name of the file durable, if that failed before.
+    fn sync_name(&mut self) -> io::Result<()> {
+        if self.health.is_name_unsynced {
+            self.folder.sync_names()?;
+            self.health.is_name_unsynced = false;
+        }
+        Ok(())
     }
 
     fn acquire_reserve(&mut self) {
@@ -379,5 +475,15 @@
     }
 }
 
+/// The error where there is no file to write to.
+fn no_file() -> io::Error {
+    io::Error::new(io::ErrorKind::NotFound, "the file could not be opened")
+}
+
+/// Whether an error of a read says something of the file that waiting does not change.
+fn is_lasting(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::IsADirectory | io::ErrorKind::PermissionDenied)
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/daemon/recovery/mod.rs
+++ b/src/daemon/recovery/mod.rs
@@ -8,6 +8,7 @@
 use super::clock::{Clock, ClockContinuity, Predecessor};
 use super::config::Config;
 use super::journal::{CorruptionReport, Journal, JournalError};
+use super::journal_opening::open_journal;
 use super::membership;
 use super::ports::Ports;
 use micadrum_config::{Durability, Recovery};
@@ -58,7 +59,7 @@
     context: &RecoveryContext<'_>,
 ) -> Result<RecoveredJournal, JournalError> {
     let origin = Instant::now();
-    let AssessedJournal { journal, clock, corruption, mut trust } = open_journal(context)?;
+    let AssessedJournal { journal, clock, corruption, mut trust } = assess_journal(context).await?;
     let settings = phase_settings(context.settings);
     // From here on, other members that query this sender learn that it recovers.
     status.start(RecoveryParameters {
@@ -96,9 +97,9 @@
 }
 
 /// Opens and assesses the journal. The journal of another sender is set aside and replaced by an empty one.
-fn open_journal(context: &RecoveryContext<'_>) -> Result<AssessedJournal, JournalError> {
+async fn assess_journal(context: &RecoveryContext<'_>) -> Result<AssessedJournal, JournalError> {
     let storage = &context.ports.storage;
-    let (mut journal, corruption) = Journal::open(storage.clone(), context.disk_bytes)?;
+    let (mut journal, corruption) = open_journal(context.ports, context.disk_bytes).await;
     let mut clock = Clock::resume(&journal, Predecessor::Ended, context.ports);
     if clock.continuity() == ClockContinuity::Unknown {
         // The recovery itself decides what the times in the journal are worth, by the machine's clock and by peers.
