--- a/tests/sockets/system_calls.rs
+++ b/tests/sockets/system_calls.rs
@@ -9,6 +9,9 @@
 
 /// Error numbers of Linux.
 const CONNECTION_ABORTED: i64 = 103;
+const ADDRESS_NOT_AVAILABLE: i64 = 99;
+const NETWORK_UNREACHABLE: i64 = 101;
+const NO_BUFFERS: i64 = 105;
 /// Longer than an exchange takes on a busy machine, and shorter than any timeout of a client's connection.
 const PROMPT: Duration = Duration::from_millis(1500);
 const HOUR_US: i64 = 3_600_000_000;
@@ -134,3 +137,36 @@
     assert_eq!(call.id(), "m1");
     call.ok();
 }
+
+/// Guards against taking an error of this machine for one of the endpoint: an attempt would be used up, a backoff begun, and a
+/// healthy endpoint ejected.
+#[tokio::test]
+async fn an_error_of_this_machine_says_nothing_of_the_endpoint() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let members = [member("s-1", endpoint.address, "single", "SERVING")];
+    let node = Node::start_with_faults(&platform, &members, |_| {}).await;
+    // Discovery connects, too: that of the start is over once the figures are there.
+    node.figures().await;
+    for error in [ADDRESS_NOT_AVAILABLE, NETWORK_UNREACHABLE, NO_BUFFERS] {
+        let id = format!("m{error}");
+        node.faults().begin(Fault::always(FaultKind::Connect).with_parameter(error)).unwrap();
+        assert_eq!(node.hand_in(&id, "unsafe", "").await.status(), 202);
+        assert!(endpoint.quiet(Duration::from_millis(400)).await);
+        node.faults().end(FaultKind::Connect).unwrap();
+        let call = timeout(Duration::from_millis(600), endpoint.call()).await.expect("no backoff");
+        assert_eq!(call.id(), id);
+        // The connection is not kept: the next message needs another one.
+        call.reply(answer("200 OK", "Connection: close\r\n", ""));
+    }
+}
+
+/// Guards against a start that fails with a socket that cannot be bound for a moment.
+#[tokio::test]
+async fn a_listener_is_bound_as_soon_as_the_system_allows() {
+    let platform = Platform::start().await;
+    let mut node = Node::start_with_faults(&platform, &[], |_| {}).await;
+    node.kill();
+    node.faults().begin(Fault::always(FaultKind::Bind).at_most(6)).unwrap();
+    node.begin().await;
+    assert_eq!(node.request("GET /-/ready", "", b"").await.status(), 200);
+}
