--- a/src/daemon/outbound_call/mod.rs
+++ b/src/daemon/outbound_call/mod.rs
@@ -4,6 +4,7 @@
 
 use super::connection::{CallError, Connection, WrittenCounter, request};
 use super::events::{AttemptOutcome, CallCompletion, LoopEvent};
+use super::local_failure::is_local;
 use super::ports::{Log, Ports};
 use crate::{EndpointId, LoadReport, Outcome, TimeDelta};
 use batch::BatchResults;
@@ -21,10 +22,12 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Semaphore, oneshot};
 use tokio::task::yield_now;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// How often the runtime is given a turn to read what has arrived at the very end of a timeout.
 const FINAL_YIELDS: usize = 3;
+/// How long connecting rests after an error of this machine.
+const LOCAL_FAILURE_DELAY: Duration = Duration::from_millis(20);
 
 /// One message of a call.
 #[derive(Clone)]
@@ -179,12 +182,28 @@
         }
     }
 
+    /// Opens a connection. An error of this machine says nothing of the endpoint: connecting is tried again as long as it may
+    /// take, and the attempt then counts as none.
+    async fn open_connection(&self, context: &CallContext) -> Result<Connection, Outcome> {
+        let left = self.expires.saturating_duration_since(Instant::now());
+        let deadline = Instant::now() + left.min(self.connect_timeout);
+        loop {
+            let patience = deadline.saturating_duration_since(Instant::now());
+            match Connection::open(&*context.ports.network, self.address, patience).await {
+                Err(CallError::Connect(error)) if is_local(&error) => {
+                    if Instant::now() + LOCAL_FAILURE_DELAY >= deadline {
+                        return Err(Outcome::Deferred);
+                    }
+                    sleep(LOCAL_FAILURE_DELAY).await;
+                }
+                opened => return opened.map_err(|_| Outcome::ConnectFailed),
+            }
+        }
+    }
+
     /// Opens a connection for the call; none if its messages may not be sent any more once there is one.
     async fn connect(&self, context: &CallContext) -> Result<Option<Connection>, Outcome> {
-        let left = self.expires.saturating_duration_since(Instant::now());
-        let patience = left.min(self.connect_timeout);
-        let connection = Connection::open(&*context.ports.network, self.address, patience).await;
-        let connection = connection.map_err(|_| Outcome::ConnectFailed)?;
+        let connection = self.open_connection(context).await?;
         let (is_allowed, allowed) = oneshot::channel();
         let messages = self.messages.iter().map(|message| message.number).collect();
         let connected = LoopEvent::Connected { endpoint: self.endpoint, messages, is_allowed };
