--- a/crates/micadrum-testkit/src/cli.rs
+++ b/crates/micadrum-testkit/src/cli.rs
@@ -31,6 +31,8 @@
     /// Simulate a scenario with many seeds, each with its own random faults
     #[command(alias = "hunt")]
     Search(SearchArgs),
+    /// Run a scenario live with many seeds, each with random faults of the senders' system calls, clocks and folders
+    Soak(SoakArgs),
     /// Sum up the logs of daemons that ran with MICADRUM_TRACE=calls, by destination and second
     #[command(alias = "count")]
     Aggregate {
@@ -82,6 +84,9 @@
     /// Add random faults of senders and of the links between them, in place of the other random faults
     #[arg(long)]
     pub peer_faults: bool,
+    /// Add random faults of the senders' clocks and folders
+    #[arg(long)]
+    pub system_faults: bool,
     /// Add no random faults: play only those of the scenario
     #[arg(long, conflicts_with = "peer_faults")]
     pub planned: bool,
@@ -90,21 +95,46 @@
     pub jobs: Option<u16>,
 }
 
+/// Arguments of `soak`.
+#[derive(Args)]
+pub struct SoakArgs {
+    /// The scenario to run.
+    #[command(flatten)]
+    pub scenario: ScenarioArgs,
+    /// The seeds to run, both ends included
+    #[arg(long, value_name = "A..B", value_parser = parse_seed_range)]
+    pub seeds: RangeInclusive<u64>,
+    /// Number of concurrent runs, each with all senders of the scenario
+    #[arg(long, value_name = "N", default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..))]
+    pub jobs: u16,
+    /// The daemon's binary [default: the one in this binary's directory]
+    #[arg(long, value_name = "PATH")]
+    pub daemon: Option<PathBuf>,
+    /// Write the text of each report that is not kept into this directory
+    #[arg(long, value_name = "DIRECTORY")]
+    pub reports: Option<PathBuf>,
+}
+
 impl SearchArgs {
     /// Returns which faults are drawn from each seed.
     pub fn random_faults(&self) -> RandomFaults {
-        RandomFaults { world: !self.peer_faults && !self.planned, peers: self.peer_faults }
+        RandomFaults {
+            world: !self.peer_faults && !self.planned,
+            peers: self.peer_faults,
+            system: self.system_faults,
+        }
     }
 
     /// Returns the options that a `simulate` command needs to replay a seed of this search.
     pub fn replay_options(&self) -> String {
         let length = self.scenario.length.map_or(String::new(), |length| format!(" --length \"{length}\""));
+        let system_faults = if self.system_faults { " --system-faults" } else { "" };
         let random_faults = match (self.planned, self.peer_faults) {
             (true, _) => "",
             (_, true) => " --peer-faults",
             _ => " --random-faults",
         };
-        format!("{length}{random_faults}")
+        format!("{length}{random_faults}{system_faults}")
     }
 }
 
@@ -123,6 +153,9 @@
     /// Add random faults of senders and of the links between them, drawn from the seed
     #[arg(long)]
     pub peer_faults: bool,
+    /// Add random faults of the senders' system calls, clocks and folders, drawn from the seed
+    #[arg(long)]
+    pub system_faults: bool,
     /// Also write the report as JSON
     #[arg(long, value_name = "FILE")]
     pub json: Option<PathBuf>,
@@ -134,7 +167,8 @@
 impl RunArgs {
     /// Returns the plan of this run of `scenario`.
     pub fn plan(&self, scenario: &Scenario) -> Plan {
-        let random_faults = RandomFaults { world: self.random_faults, peers: self.peer_faults };
+        let random_faults =
+            RandomFaults { world: self.random_faults, peers: self.peer_faults, system: self.system_faults };
         self.scenario.plan(scenario, self.seed, random_faults)
     }
 }
@@ -170,6 +204,9 @@
         if random_faults.peers {
             plan.add_peer_faults();
         }
+        if random_faults.system {
+            plan.add_system_faults();
+        }
         if let Some(FaultSelection(numbers)) = &self.faults {
             plan.keep_faults(numbers);
         }
@@ -187,6 +224,8 @@
     pub world: bool,
     /// Faults of senders and of the links between them.
     pub peers: bool,
+    /// Faults of the senders' system calls, clocks and folders.
+    pub system: bool,
 }
 
 /// Why an argument could not be parsed.
--- a/crates/micadrum-testkit/src/lib.rs
+++ b/crates/micadrum-testkit/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod seed_search;
 pub mod service_metrics;
 pub mod sim;
+pub mod soak;
 mod test_network;
 pub mod trace_aggregate;
 mod world;
--- a/crates/micadrum-testkit/src/live/fleet.rs
+++ b/crates/micadrum-testkit/src/live/fleet.rs
@@ -2,8 +2,9 @@
 use super::power::DurableState;
 use super::process::{LogReader, ProcessCommand, RunningProcess};
 use super::relays::Relays;
+use super::system_faults::SystemFaults;
 use crate::link_faults::hex;
-use crate::plan::SeededRng;
+use crate::plan::{PlannedFault, SeededRng};
 use crate::scenario::Where;
 use crate::world::senders::{Fleet, Links, LogSink, OperatorFile, SyncBehavior};
 use micadrum::daemon::ports::LocalFuture;
@@ -25,6 +26,8 @@
     /// Configuration and log, apart from the state folder, which may be emptied.
     folder: TempDir,
     state: PathBuf,
+    /// The control of the processes' system calls, where the plan has faults of them.
+    pub(super) system_faults: Option<SystemFaults>,
     /// A copy of the state folder.
     saved_state: PathBuf,
     boot_count: Cell<u32>,
@@ -37,11 +40,13 @@
 }
 
 impl Node {
-    /// Creates a machine with empty folders.
-    pub(super) fn new() -> io::Result<Self> {
+    /// Creates a machine with empty folders, and with control over its system calls if `seed` is given.
+    pub(super) fn new(seed: Option<u64>) -> io::Result<Self> {
         let folder = tempfile::tempdir()?;
         let (state, saved_state) = (folder.path().join("state"), folder.path().join("copy"));
+        let system_faults = seed.map(|seed| SystemFaults::create(folder.path(), seed)).transpose()?;
         Ok(Self {
+            system_faults,
             folder,
             state,
             saved_state,
@@ -152,6 +157,9 @@
             let operator_file = node.write_operator_file(operator)?;
             command.env("MICADRUM_OPERATOR", operator_file).env("MICADRUM_TRACE", self.traces);
         }
+        if let Some(faults) = &node.system_faults {
+            faults.preload(&mut command, &node.state);
+        }
         command
             .env("PROXY_CONFIG", &file)
             .env("PROXY_STATE", &node.state)
@@ -287,6 +295,15 @@
         false
     }
 
+    fn set_system_fault(&self, sender: u32, fault: &PlannedFault, fails: bool) -> bool {
+        let Some(faults) = &self.nodes[sender as usize].system_faults else { return false };
+        if let Err(error) = faults.set(fault, fails) {
+            eprintln!("sender {sender}: {error}");
+            return false;
+        }
+        true
+    }
+
     fn links(&self) -> Option<&dyn Links> {
         None
     }
--- a/crates/micadrum-testkit/src/live/mod.rs
+++ b/crates/micadrum-testkit/src/live/mod.rs
@@ -5,6 +5,7 @@
 mod power;
 mod process;
 mod relays;
+mod system_faults;
 
 use crate::link_faults::LinkFaults;
 use crate::plan::Plan;
@@ -15,6 +16,7 @@
 use loopback::Loopback;
 use relays::Relays;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -32,18 +34,38 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let plan = Rc::new(plan);
     LocalSet::new().block_on(&runtime, async move {
-        let nodes = plan.senders.iter().map(|_| Node::new()).collect::<io::Result<_>>()?;
+        let fails_calls = plan.faults.iter().any(|fault| fault.kind.affects_system_calls());
+        let node_seed = |number: u32| fails_calls.then(|| plan.seed.wrapping_add(u64::from(number)));
+        let nodes = (plan.senders.iter().map(|sender| Node::new(node_seed(sender.number))))
+            .collect::<io::Result<_>>()?;
         let link_faults = Rc::new(RefCell::new(LinkFaults::new(&plan)));
         let relayed = if plan.scenario.has_peers() { plan.senders.len() } else { 0 };
         let relays = Rc::new(Relays::open(relayed, &link_faults).await?);
         let loses_power = plan.faults.iter().any(|fault| fault.kind == FaultKind::PowerLoss);
         let traces = if loses_power { "peers,recovery,storage" } else { "peers,recovery" };
         let fleet = Rc::new(LiveFleet { daemon, nodes, relays, traces });
-        let world = World::new(plan.clone(), Rc::new(Loopback), fleet, link_faults).await?;
+        let world = World::new(plan.clone(), Rc::new(Loopback), fleet.clone(), link_faults).await?;
         run_scenario(&world, |_, _| {}).await?;
         let now = world.now();
         let mut recorder = world.into_recorder();
         let verdict = recorder.verdict(now, plan.scenario.has_peers());
-        Ok(Report::new(&plan, &recorder, verdict, true))
+        let injected = injected_counts(&fleet.nodes)?;
+        if fails_calls && injected.values().all(|count| *count == 0) {
+            return Err(io::Error::other("no system call was made to fail"));
+        }
+        let mut report = Report::new(&plan, &recorder, verdict, true);
+        report.played.injected = injected;
+        Ok(report)
     })
 }
+
+/// Sums up over all senders how often each kind of system call was made to fail.
+fn injected_counts(nodes: &[Node]) -> io::Result<BTreeMap<&'static str, u64>> {
+    let mut injected = BTreeMap::new();
+    for faults in nodes.iter().filter_map(|node| node.system_faults.as_ref()) {
+        for (kind, count) in faults.counts()?.into_iter().filter(|(_, count)| count.injected > 0) {
+            *injected.entry(kind.name()).or_default() += count.injected;
+        }
+    }
+    Ok(injected)
+}
--- a/crates/micadrum-testkit/src/main.rs
+++ b/crates/micadrum-testkit/src/main.rs
@@ -3,12 +3,12 @@
 mod cli;
 
 use clap::Parser;
-use cli::{Command, CommandLine, LiveArgs, RunArgs, SearchArgs, SimulateArgs};
+use cli::{Command, CommandLine, LiveArgs, RandomFaults, RunArgs, SearchArgs, SimulateArgs, SoakArgs};
 use micadrum_testkit::report::Report;
 use micadrum_testkit::scenario::{Scenario, ScenarioError};
 use micadrum_testkit::trace_aggregate::{TraceAggregate, TraceError};
 use micadrum_testkit::units::Span;
-use micadrum_testkit::{live, seed_search, sim};
+use micadrum_testkit::{live, seed_search, sim, soak};
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -68,6 +68,7 @@
         Command::Simulate(args) => simulate(args),
         Command::Live(args) => run_live(args),
         Command::Search(args) => search(&args),
+        Command::Soak(args) => run_soak(&args),
         Command::Aggregate { logs } => {
             print!("{}", aggregate(&logs)?);
             Ok(ExitCode::SUCCESS)
@@ -103,6 +104,31 @@
     Ok(verdict_exit_code(found.failing.is_empty()))
 }
 
+fn run_soak(args: &SoakArgs) -> Result<ExitCode, CommandError> {
+    let scenario = read_scenario(&args.scenario.file)?;
+    let faults = RandomFaults { world: false, peers: false, system: true };
+    let plan = |seed| args.scenario.plan(&scenario, seed, faults);
+    let finished = |run: &soak::SoakRun| {
+        println!("{}", run.line());
+        if let (false, Some(folder), Ok(report)) = (run.is_kept(), &args.reports, &run.outcome) {
+            let file = folder.join(format!("seed-{}.txt", run.seed));
+            if let Err(error) = write_file(file, report.text()) {
+                eprintln!("{error}");
+            }
+        }
+    };
+    let summary =
+        soak::run(args.seeds.clone(), usize::from(args.jobs), args.daemon.as_ref(), &plan, &finished);
+    println!(
+        "{} seeds played, {} not kept {:?}; injected {:?}",
+        summary.played,
+        summary.failing.len(),
+        summary.failing,
+        summary.injected
+    );
+    Ok(verdict_exit_code(summary.failing.is_empty()))
+}
+
 fn print_search_progress(seeds: u64, failing: usize) {
     if seeds.is_multiple_of(SEEDS_PER_PROGRESS_LINE) {
         eprintln!("{seeds} seeds, {failing} that break a rule");
--- a/crates/micadrum-testkit/src/plan/description.rs
+++ b/crates/micadrum-testkit/src/plan/description.rs
@@ -35,6 +35,16 @@
             FaultKind::Cut => vec![self.cut_parameters()],
             FaultKind::Slow => vec![format!("by {} and up to {}", self.delay, self.jitter)],
             FaultKind::Break => vec![format!("one every {}", self.every)],
+            FaultKind::SystemCalls => {
+                vec![format!("{:?}, {:.2}% of the calls", self.system.call, self.calls * 100.0)]
+            }
+            FaultKind::WallClock => vec![format!("by {} us", self.system.step_us)],
+            FaultKind::Folder => vec![format!(
+                "error {:?}, torn: {}, {:.2}% of the calls",
+                self.system.error,
+                self.system.is_torn,
+                self.calls * 100.0
+            )],
             FaultKind::Lose => vec![format!("{:.0}% lost", self.calls * 100.0)],
             _ => Vec::new(),
         }
--- a/crates/micadrum-testkit/src/plan/faults.rs
+++ b/crates/micadrum-testkit/src/plan/faults.rs
@@ -1,5 +1,5 @@
 //! Resolves a scenario's fault into a planned one: draws its targets and fills in the defaults.
-use super::model::{Destination, EndpointPlan, PlannedFault};
+use super::model::{Destination, EndpointPlan, PlannedFault, SystemFault};
 use super::{Plan, SeededRng};
 use crate::scenario::{Fault, FaultKind, FolderKept, How, Where};
 use crate::units::{Percent, Span};
@@ -44,6 +44,7 @@
             jitter: fault.jitter.unwrap_or_default(),
             back: fault.return_period.unwrap_or_default(),
             folder: fault.folder.unwrap_or(default_folder(fault.kind)),
+            system: system_fault(fault),
         }
     }
 
@@ -89,6 +90,16 @@
     }
 }
 
+fn system_fault(fault: &Fault) -> SystemFault {
+    let step_us = fault.step.map_or(0, |step| step.0 as i64);
+    SystemFault {
+        call: fault.call.unwrap_or_default(),
+        error: fault.error,
+        is_torn: fault.torn.unwrap_or(false),
+        step_us: if fault.backward == Some(true) { -step_us } else { step_us },
+    }
+}
+
 fn is_listed(list: Option<&Vec<u32>>, number: u32) -> bool {
     list.is_none_or(|list| list.contains(&number))
 }
--- a/crates/micadrum-testkit/src/plan/mod.rs
+++ b/crates/micadrum-testkit/src/plan/mod.rs
@@ -8,9 +8,12 @@
 mod parameters;
 mod random;
 mod random_faults;
+mod random_system_faults;
 
 pub use arrivals::Arrivals;
-pub use model::{Arrival, Class, Destination, EndpointPlan, Kind, Lie, Limit, PlannedFault, SenderPlan};
+pub use model::{
+    Arrival, Class, Destination, EndpointPlan, Kind, Lie, Limit, PlannedFault, SenderPlan, SystemFault,
+};
 pub use parameters::{
     AIM, COLD_SHARE, CONNECT_TIMEOUT, DRAIN_GRACE, FALL, KEY_WINDOW, LATE_WORTH, MAX_ATTEMPTS, MUST_ASK_IN,
     OVERLOAD_FACTOR, RAMP, TENANTS,
--- a/crates/micadrum-testkit/src/plan/model.rs
+++ b/crates/micadrum-testkit/src/plan/model.rs
@@ -1,5 +1,5 @@
 //! What a plan consists of: message classes, destinations, endpoints, senders, client operations and faults.
-use crate::scenario::{FaultKind, FolderKept, How, Ways, Where};
+use crate::scenario::{FaultKind, FolderError, FolderKept, How, SystemCall, Ways, Where};
 use crate::units::Span;
 
 /// The message classes.
@@ -184,6 +184,21 @@
     pub never: Vec<u32>,
     /// Maximum error of the senders' clocks afterwards.
     pub clock: Span,
+    /// How system calls are made to fail.
+    pub system: SystemFault,
+}
+
+/// How system calls of senders are made to fail.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SystemFault {
+    /// Which calls fail.
+    pub call: SystemCall,
+    /// With which error changes of the state folder fail.
+    pub error: Option<FolderError>,
+    /// Whether failing writes to the state folder write a part first.
+    pub is_torn: bool,
+    /// By how much the wall clock is stepped, in microseconds.
+    pub step_us: i64,
 }
 
 /// A deliberate error in the senders' configuration, which makes faulty senders of correct ones, so that tests can show
--- a/crates/micadrum-testkit/src/plan/random_faults.rs
+++ b/crates/micadrum-testkit/src/plan/random_faults.rs
@@ -80,7 +80,7 @@
 }
 
 /// Draws a time in seconds, rounded down to milliseconds so that a printed plan shows exactly what is played.
-fn draw_span(rng: &mut SeededRng, low: f64, high: f64) -> Span {
+pub(super) fn draw_span(rng: &mut SeededRng, low: f64, high: f64) -> Span {
     Span::millis((rng.between(low, high) * 1e3) as u64)
 }
 
--- a/crates/micadrum-testkit/src/report.rs
+++ b/crates/micadrum-testkit/src/report.rs
@@ -74,6 +74,9 @@
     pub counts: BTreeMap<&'static str, u64>,
     /// Share of the calls that delivered nothing.
     pub waste: f64,
+    /// How many system calls of senders were made to fail, by kind.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub injected: BTreeMap<&'static str, u64>,
     /// Faults of the plan that this kind of run cannot play.
     pub not_played: Vec<String>,
     /// Destinations that failed by overload in slow start, and whose calls did it.
@@ -167,6 +170,7 @@
             latency_us: recorder.latency.iter().map(latency_quantiles).collect(),
             counts: named_counts(&counts, verdict),
             waste: rounded(1.0 - counts.useful as f64 / counts.calls.max(1) as f64),
+            injected: BTreeMap::new(),
             not_played: recorder.not_played.clone(),
             overloads: verdict.fell.clone(),
             breaks: verdict.breaks.clone(),
@@ -179,6 +183,7 @@
         lines.extend(self.latency_us.iter().map(|(class, quantiles)| latency_line(class, *quantiles)));
         lines.extend(self.counts.iter().map(|(name, count)| format!("  {name}: {count}")));
         lines.extend(self.overloads.iter().map(|overload| format!("  fell over: {overload}")));
+        lines.extend(self.injected.iter().map(|(kind, count)| format!("  injected {kind}: {count}")));
         lines.extend(self.not_played.iter().map(|fault| format!("  not played here: {fault}")));
         lines.extend(self.convergence_line());
         lines.extend(self.breaks.iter().take(MAX_SHOWN_VIOLATIONS).flat_map(violation_lines));
--- a/crates/micadrum-testkit/src/scenario/fault.rs
+++ b/crates/micadrum-testkit/src/scenario/fault.rs
@@ -78,6 +78,12 @@
     Break,
     /// Senders are suspended, and resume with their former notion of the time.
     Pause,
+    /// A share of the system calls of senders fails, as Linux documents.
+    SystemCalls,
+    /// The wall clocks of senders are stepped by `step`, and stay so.
+    WallClock,
+    /// Writes, syncs, truncations and renames in the state folders of senders fail.
+    Folder,
 }
 
 impl FaultKind {
@@ -86,6 +92,11 @@
         matches!(self, Self::Cut | Self::Slow | Self::Lose | Self::Break)
     }
 
+    /// Returns whether system calls of senders are made to fail, or to say something else.
+    pub fn affects_system_calls(self) -> bool {
+        matches!(self, Self::SystemCalls | Self::WallClock | Self::Folder)
+    }
+
     /// Returns whether a destination goes through a slow start after the fault.
     pub fn is_outage(self) -> bool {
         matches!(self, Self::Hang | Self::Shut | Self::Vanish | Self::Die | Self::Errors)
@@ -142,6 +153,38 @@
     After,
 }
 
+/// The system calls that [`FaultKind::SystemCalls`] is about.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum SystemCall {
+    /// `accept` fails.
+    #[default]
+    Accept,
+    /// `connect` fails with an error of the machine or of the other side.
+    Connect,
+    /// `socket` fails.
+    Socket,
+    /// `bind` fails.
+    Bind,
+    /// Reads and writes on sockets transfer less than they could.
+    ShortTransfer,
+    /// Calls are interrupted by a signal.
+    Interrupt,
+    /// Writes to sockets are held up for up to 0.15 s.
+    DelayedWrite,
+}
+
+/// The error with which [`FaultKind::Folder`] fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub enum FolderError {
+    /// An input/output error.
+    #[serde(rename = "EIO")]
+    InputOutput,
+    /// No space is left.
+    #[serde(rename = "ENOSPC")]
+    NoSpace,
+}
+
 /// One fault. `FaultKind::fields` in `fault_fields` lists the fields that each kind needs and allows.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -205,6 +248,16 @@
     /// Whether the endpoints in the same zone lose power too, and go through a slow start.
     #[serde(rename = "with_partners")]
     pub includes_endpoints: Option<bool>,
+    /// Which system calls fail.
+    pub call: Option<SystemCall>,
+    /// With which error changes of the state folder fail; either of them if not given.
+    pub error: Option<FolderError>,
+    /// Whether failing writes write a part first.
+    pub torn: Option<bool>,
+    /// By how much a wall clock is stepped.
+    pub step: Option<Span>,
+    /// Whether a wall clock is stepped back, and not forward.
+    pub backward: Option<bool>,
 }
 
 impl Fault {
@@ -236,6 +289,11 @@
             lost_share: None,
             clock: None,
             includes_endpoints: None,
+            call: None,
+            error: None,
+            torn: None,
+            step: None,
+            backward: None,
         }
     }
 
--- a/crates/micadrum-testkit/src/scenario/fault_fields.rs
+++ b/crates/micadrum-testkit/src/scenario/fault_fields.rs
@@ -36,6 +36,9 @@
             | Self::SyncHangs
             | Self::SyncLies
             | Self::Pause => (&["for"], SENDERS),
+            Self::SystemCalls => (&["for", "call"], &["senders", "share", "building", "calls"]),
+            Self::WallClock => (&["step"], &["senders", "share", "building", "backward"]),
+            Self::Folder => (&["for"], &["senders", "share", "building", "calls", "error", "torn"]),
             Self::Restart => {
                 (&["how"], &["senders", "share", "building", "batch", "every", "down", "folder"])
             }
@@ -86,6 +89,11 @@
             ("jitter", self.jitter.is_some()),
             ("back", self.return_period.is_some()),
             ("folder", self.folder.is_some()),
+            ("call", self.call.is_some()),
+            ("error", self.error.is_some()),
+            ("torn", self.torn.is_some()),
+            ("step", self.step.is_some()),
+            ("backward", self.backward.is_some()),
         ])
     }
 }
--- a/crates/micadrum-testkit/src/scenario/mod.rs
+++ b/crates/micadrum-testkit/src/scenario/mod.rs
@@ -5,7 +5,7 @@
 mod schema;
 mod validation;
 
-pub use fault::{Fault, FaultKind, FolderKept, How, Ways, Where};
+pub use fault::{Fault, FaultKind, FolderError, FolderKept, How, SystemCall, Ways, Where};
 pub use fault_validation::FaultError;
 pub use schema::{AdminSnapshotPlan, Discovery, Peak, Scenario};
 pub use validation::{ScenarioError, ScenarioProblem};
--- a/crates/micadrum-testkit/src/sim/disk.rs
+++ b/crates/micadrum-testkit/src/sim/disk.rs
@@ -53,6 +53,13 @@
     pub place: Where,
 }
 
+/// How changes of files fail.
+#[derive(Clone, Copy)]
+pub struct WriteFailure {
+    /// A failing write writes a half first.
+    pub is_torn: bool,
+}
+
 /// The disk of one sender, over all of its processes.
 #[derive(Default)]
 pub struct Disk {
@@ -65,6 +72,8 @@
     pub kill_at_write: Option<KillAtWrite>,
     /// How the disk performs syncs.
     pub sync_behavior: SyncBehavior,
+    /// Set while every change of a file fails.
+    pub write_failure: Option<WriteFailure>,
     /// The largest size that the disk has had.
     pub peak_bytes: usize,
     saved: BTreeMap<String, Vec<u8>>,
@@ -153,6 +162,12 @@
         if self.process.is_dead() { Err(io::ErrorKind::BrokenPipe.into()) } else { Ok(()) }
     }
 
+    /// Fails while changes of files do.
+    fn check_writable(&self) -> io::Result<()> {
+        self.check_running()?;
+        if self.disk.borrow().write_failure.is_some() { Err(io::Error::other("injected")) } else { Ok(()) }
+    }
+
     fn handle(&self, file: File) -> Box<dyn AppendFile> {
         let folder = ProcessFolder { disk: self.disk.clone(), process: self.process.clone() };
         Box::new(Handle { folder, file })
@@ -166,20 +181,20 @@
     }
 
     fn open(&self, name: &str) -> io::Result<Box<dyn AppendFile>> {
-        self.check_running()?;
+        self.check_writable()?;
         let file = self.disk.borrow_mut().files.entry(name.to_owned()).or_default().clone();
         Ok(self.handle(file))
     }
 
     fn create(&self, name: &str) -> io::Result<Box<dyn AppendFile>> {
-        self.check_running()?;
+        self.check_writable()?;
         let file = File::default();
         self.disk.borrow_mut().files.insert(name.to_owned(), file.clone());
         Ok(self.handle(file))
     }
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
-        self.check_running()?;
+        self.check_writable()?;
         let mut disk = self.disk.borrow_mut();
         let file = disk.files.remove(from).ok_or(io::ErrorKind::NotFound)?;
         disk.files.insert(to.to_owned(), file);
@@ -187,7 +202,7 @@
     }
 
     fn sync_names(&self) -> io::Result<()> {
-        self.check_running()?;
+        self.check_writable()?;
         let mut disk = self.disk.borrow_mut();
         match disk.sync_behavior {
             SyncBehavior::Fail => return Err(io::ErrorKind::Other.into()),
@@ -207,6 +222,12 @@
 impl AppendFile for Handle {
     fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.folder.check_running()?;
+        let failure = self.folder.disk.borrow().write_failure;
+        if let Some(WriteFailure { is_torn }) = failure {
+            let written = if is_torn { bytes.len() / 2 } else { 0 };
+            self.file.borrow_mut().bytes.extend_from_slice(&bytes[..written]);
+            return Err(io::Error::other("injected"));
+        }
         let mut disk = self.folder.disk.borrow_mut();
         if let Some(room) = disk.max_bytes.map(|max| max.saturating_sub(disk.bytes()))
             && room < bytes.len()
@@ -256,7 +277,7 @@
     }
 
     fn sync_now(&mut self) -> io::Result<()> {
-        self.folder.check_running()?;
+        self.folder.check_writable()?;
         let behavior = self.folder.disk.borrow().sync_behavior;
         let mut content = self.file.borrow_mut();
         let length = content.bytes.len();
@@ -264,7 +285,7 @@
     }
 
     fn truncate(&mut self, length: u64) -> io::Result<()> {
-        self.folder.check_running()?;
+        self.folder.check_writable()?;
         let mut content = self.file.borrow_mut();
         content.bytes.truncate(length as usize);
         content.synced = content.synced.min(length as usize);
--- a/crates/micadrum-testkit/src/sim/fleet.rs
+++ b/crates/micadrum-testkit/src/sim/fleet.rs
@@ -1,6 +1,6 @@
 //! The simulated senders: the daemon's own code on simulated network, disk and clock.
 use super::datagrams::DatagramNetwork;
-use super::disk::{Disk, KillAtWrite, ProcessFolder};
+use super::disk::{Disk, KillAtWrite, ProcessFolder, WriteFailure};
 use super::hosts::address;
 use super::network::{SimNetwork, ZoneLinkState};
 use super::process::Process;
@@ -33,13 +33,13 @@
 /// The wall clock of one machine.
 struct SimClock {
     origin: Instant,
-    offset_us: i64,
+    offset_us: Rc<Cell<i64>>,
 }
 
 impl WallClock for SimClock {
     fn now(&self) -> Duration {
         let micros = (EPOCH + self.origin.elapsed()).as_micros() as u64;
-        Duration::from_micros(micros.saturating_add_signed(self.offset_us))
+        Duration::from_micros(micros.saturating_add_signed(self.offset_us.get()))
     }
 
     fn monotonic(&self) -> Duration {
@@ -77,7 +77,7 @@
     disk: Rc<RefCell<Disk>>,
     /// Counts the boots of the machine.
     boot: Cell<u8>,
-    clock_offset_us: Cell<i64>,
+    clock_offset_us: Rc<Cell<i64>>,
     running: RefCell<Option<Running>>,
 }
 
@@ -118,7 +118,7 @@
             let node = &self.nodes[sender as usize];
             let process = Rc::<Process>::default();
             let ports = Ports {
-                wall: Rc::new(SimClock { origin: self.origin, offset_us: node.clock_offset_us.get() }),
+                wall: Rc::new(SimClock { origin: self.origin, offset_us: node.clock_offset_us.clone() }),
                 network: Rc::new(ProcessNetwork {
                     network: self.network.clone(),
                     datagrams: self.datagrams.clone(),
@@ -253,6 +253,19 @@
         true
     }
 
+    fn set_system_fault(&self, sender: u32, fault: &PlannedFault, fails: bool) -> bool {
+        let node = &self.nodes[sender as usize];
+        match fault.kind {
+            FaultKind::WallClock => node.clock_offset_us.update(|offset| offset + fault.system.step_us),
+            FaultKind::Folder => {
+                let failure = WriteFailure { is_torn: fault.system.is_torn };
+                node.disk.borrow_mut().write_failure = fails.then_some(failure);
+            }
+            _ => return false,
+        }
+        true
+    }
+
     fn links(&self) -> Option<&dyn Links> {
         Some(self)
     }
--- a/crates/micadrum-testkit/src/world/faults/mod.rs
+++ b/crates/micadrum-testkit/src/world/faults/mod.rs
@@ -37,6 +37,8 @@
         FaultKind::Cut | FaultKind::Slow | FaultKind::Lose | FaultKind::Break => {
             sender_faults::peer_links(world, fault, until).await;
         }
+        FaultKind::SystemCalls | FaultKind::Folder => sender_faults::system_calls(world, fault, until).await,
+        FaultKind::WallClock => sender_faults::step_wall_clocks(world, fault),
         FaultKind::Pause => sender_faults::pause(world, fault, until).await,
         FaultKind::Deaf => discovery_faults::ignore_notifications(world, fault, until),
         FaultKind::ListSilent => discovery_faults::silence(world, fault, until),
--- a/crates/micadrum-testkit/src/world/faults/sender_faults.rs
+++ b/crates/micadrum-testkit/src/world/faults/sender_faults.rs
@@ -89,6 +89,28 @@
     set_all(SyncBehavior::Work);
 }
 
+/// Makes system calls of senders fail until `until`.
+pub(super) async fn system_calls(world: &World, fault: &PlannedFault, until: At) {
+    let set_all =
+        |fails| fault.senders.iter().all(|sender| world.fleet.set_system_fault(*sender, fault, fails));
+    if !set_all(true) {
+        world.recorder().not_played(fault);
+        return;
+    }
+    world.wait_until(until).await;
+    set_all(false);
+}
+
+/// Steps the wall clocks of senders.
+pub(super) fn step_wall_clocks(world: &World, fault: &PlannedFault) {
+    for sender in &fault.senders {
+        if !world.fleet.set_system_fault(*sender, fault, true) {
+            world.recorder().not_played(fault);
+            return;
+        }
+    }
+}
+
 /// Applies a fault to the links between senders, and cuts their links to destinations where the fault says so.
 pub(super) async fn peer_links(world: &World, fault: &PlannedFault, until: At) {
     world.link_faults.borrow_mut().begin_fault(fault);
--- a/crates/micadrum-testkit/src/world/senders/fleet.rs
+++ b/crates/micadrum-testkit/src/world/senders/fleet.rs
@@ -98,6 +98,10 @@
     /// Sets how the disk of a sender performs syncs from now on. Returns whether that is possible.
     fn set_sync_behavior(&self, sender: u32, behavior: SyncBehavior) -> bool;
 
+    /// Begins or ends a fault of the system calls of a sender; a step of the wall clock only begins. Returns whether that is
+    /// possible.
+    fn set_system_fault(&self, sender: u32, fault: &PlannedFault, fails: bool) -> bool;
+
     /// Returns the links between hosts, where faults can be applied to them.
     fn links(&self) -> Option<&dyn Links>;
 
