A connection gives way only with nothing unread on it, and a new one only after half a second

After a restart all connections are new, so that the last resort of close_idle was a connection whose request was on the way.

Cause: connection_limits.rs, close_idle took a connection of any age, and ingress/mod.rs, serve_connection dropped it without asking whether bytes had arrived.

Change: a connection without a response gives way 500 ms after it was opened, no sooner; before it ends the system is asked whether anything is unread, and then it is served. A waiting connection is looked after every 20 ms.

--- a/crates/micadrum-fault-injection/src/files.rs
+++ b/crates/micadrum-fault-injection/src/files.rs
@@ -38,7 +38,10 @@
 /// As for the function of the C library.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn write(descriptor: c_int, buffer: *const c_void, length: size_t) -> ssize_t {
-    if let Some(error) = injected_error(FaultKind::Interrupt, &INTERRUPTED) {
+    // A descriptor that never blocks, such as the one that wakes an event loop, is never interrupted.
+    if folder_control(FaultKind::Interrupt, descriptor).is_some()
+        && let Some(error) = injected_error(FaultKind::Interrupt, &INTERRUPTED)
+    {
         return fail(error) as ssize_t;
     }
     if let Some(error) = write_error(descriptor) {
--- a/crates/micadrum-testkit/src/cli.rs
+++ b/crates/micadrum-testkit/src/cli.rs
@@ -104,6 +104,9 @@
     /// The seeds to run, both ends included
     #[arg(long, value_name = "A..B", value_parser = parse_seed_range)]
     pub seeds: RangeInclusive<u64>,
+    /// Add no random faults: play only those of the scenario
+    #[arg(long)]
+    pub planned: bool,
     /// Number of concurrent runs, each with all senders of the scenario
     #[arg(long, value_name = "N", default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..))]
     pub jobs: u16,
--- a/crates/micadrum-testkit/src/live/process.rs
+++ b/crates/micadrum-testkit/src/live/process.rs
@@ -95,6 +95,9 @@
                 self.durable_state.borrow_mut().apply(record);
                 continue;
             }
+            if is_fatal(&line) {
+                eprintln!("sender {}: {line}", self.sender);
+            }
             self.relays.read_log_line(self.sender, &line);
             (self.sink)(&line);
             if let Some(address) = line.strip_prefix("operators: listening on ") {
@@ -108,3 +111,8 @@
         }
     }
 }
+
+/// Whether a line says why the process ends in disorder: its last error, or where it panicked.
+fn is_fatal(line: &str) -> bool {
+    line.starts_with("micadrum: ") || line.contains("panicked at")
+}
--- a/src/daemon/admin_server.rs
+++ b/src/daemon/admin_server.rs
@@ -85,7 +85,7 @@
         biased;
         // A caller that breaks the connection off receives nothing more: there is nobody to tell of the error.
         _ = connection => {}
-        () = permit.close.notified() => {}
+        () = permit.closing.requested() => {}
     }
 }
 
--- a/src/daemon/ingress/connection_limits.rs
+++ b/src/daemon/ingress/connection_limits.rs
@@ -1,11 +1,20 @@
 //! How many connections are open, and which one is closed for a newcomer.
 //!
 //! A connection is idle while no request on it waits for a response. When all permits are taken, the connection that has
-//! been idle longest is asked to close. One that has not had a response yet comes last: its first request may be on the way.
+//! been idle longest is asked to close. One that has not had a response yet comes last, and only some time after it was
+//! opened: its first request may be on the way.
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, SemaphorePermit};
+use tokio::time::{Instant, timeout};
+
+/// A connection on which nothing was ever sent gives way no sooner: clients send as soon as they are connected, and wait
+/// 400 ms for their response.
+const MIN_FRESH_AGE: Duration = Duration::from_millis(500);
+/// How often a connection is looked for that may give way to one that waits.
+const ADMISSION_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The permits for connections and for request bodies that are being read.
 pub struct ConnectionLimits {
@@ -27,7 +36,36 @@
 #[derive(Default)]
 struct IdleConnections {
     next_number: u64,
-    close: BTreeMap<IdlePlace, Arc<Notify>>,
+    close: BTreeMap<IdlePlace, IdleConnection>,
+}
+
+struct IdleConnection {
+    since: Instant,
+    closing: Arc<Closing>,
+}
+
+/// Asks a connection to close.
+#[derive(Default)]
+pub struct Closing {
+    is_requested: AtomicBool,
+    requested: Notify,
+}
+
+impl Closing {
+    fn request(&self) {
+        self.is_requested.store(true, Ordering::Relaxed);
+        self.requested.notify_one();
+    }
+
+    /// Waits until the connection is asked to close.
+    pub async fn requested(&self) {
+        self.requested.notified().await;
+    }
+
+    /// Whether the connection was asked to close.
+    pub fn is_requested(&self) -> bool {
+        self.is_requested.load(Ordering::Relaxed)
+    }
 }
 
 impl ConnectionLimits {
@@ -44,12 +82,16 @@
     /// Waits for a permit for a new connection; when all are taken, the connection that has been idle longest closes.
     /// Returns none once connections are refused for good.
     pub async fn admit(self: &Arc<Self>) -> Option<Arc<ConnectionPermit>> {
-        if self.permits.available_permits() == 0 {
-            self.close_idle();
+        loop {
+            if self.permits.available_permits() == 0 {
+                self.close_idle();
+            }
+            // With none idle, responses are due within milliseconds.
+            let acquired = timeout(ADMISSION_RETRY_INTERVAL, self.permits.clone().acquire_owned()).await;
+            if let Ok(acquired) = acquired {
+                return Some(Arc::new(ConnectionPermit::new(self.clone(), acquired.ok()?)));
+            }
         }
-        // With none idle, responses are due within milliseconds.
-        let permit = self.permits.clone().acquire_owned().await.ok()?;
-        Some(Arc::new(ConnectionPermit::new(self.clone(), permit)))
     }
 
     /// Waits until every connection has ended.
@@ -59,8 +101,10 @@
 
     /// Asks one idle connection to close: one that has had a response if there is any.
     pub fn close_idle(&self) {
-        if let Some((_, close)) = self.idle().close.pop_first() {
-            close.notify_one();
+        let mut idle = self.idle();
+        let Some(first) = idle.close.first_entry() else { return };
+        if !first.key().is_fresh || first.get().since.elapsed() >= MIN_FRESH_AGE {
+            first.remove().closing.request();
         }
     }
 
@@ -78,8 +122,8 @@
 pub struct ConnectionPermit {
     /// The limits that the permit is of.
     pub limits: Arc<ConnectionLimits>,
-    /// Notified when the connection has to close for a newcomer.
-    pub close: Arc<Notify>,
+    /// Says when the connection has to close for a newcomer.
+    pub closing: Arc<Closing>,
     /// Its place among the idle connections, while it is idle.
     idle_place: Mutex<Option<IdlePlace>>,
     /// Whether the response to the last request has been made, and not been written yet.
@@ -91,7 +135,7 @@
     fn new(limits: Arc<ConnectionLimits>, permit: OwnedSemaphorePermit) -> Self {
         let permit = Self {
             limits,
-            close: Arc::default(),
+            closing: Arc::default(),
             idle_place: Mutex::default(),
             has_response: AtomicBool::default(),
             _permit: permit,
@@ -116,7 +160,8 @@
         let mut idle = self.limits.idle();
         let place = IdlePlace { is_fresh, number: idle.next_number };
         idle.next_number += 1;
-        idle.close.insert(place, self.close.clone());
+        let connection = IdleConnection { since: Instant::now(), closing: self.closing.clone() };
+        idle.close.insert(place, connection);
         *self.idle_place() = Some(place);
     }
 
--- a/src/daemon/ingress/connection_limits/tests.rs
+++ b/src/daemon/ingress/connection_limits/tests.rs
@@ -2,12 +2,12 @@
 use super::*;
 
 async fn is_asked_to_close(permit: &ConnectionPermit) -> bool {
-    tokio::time::timeout(std::time::Duration::ZERO, permit.close.notified()).await.is_ok()
+    tokio::time::timeout(Duration::ZERO, permit.closing.requested()).await.is_ok()
 }
 
 /// Guards against closing a connection whose client has not had a response yet, while there is another one: its first
 /// request may be on the way.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_connection_without_a_response_gives_way_last() {
     let limits = ConnectionLimits::new(3, 1024);
     let fresh = limits.admit().await.unwrap();
@@ -19,6 +19,9 @@
     assert!(is_asked_to_close(&served).await);
     assert!(!is_asked_to_close(&fresh).await);
     limits.close_idle();
+    assert!(!is_asked_to_close(&fresh).await, "its first request may be on the way");
+    tokio::time::advance(MIN_FRESH_AGE).await;
+    limits.close_idle();
     assert!(is_asked_to_close(&fresh).await);
 }
 
--- a/src/daemon/ingress/lingering_close.rs
+++ b/src/daemon/ingress/lingering_close.rs
@@ -24,6 +24,11 @@
     pub fn new(stream: Box<dyn Stream>) -> Self {
         Self { stream, until: None }
     }
+
+    /// Whether something has arrived that was not read yet.
+    pub fn has_unread(&self) -> bool {
+        self.stream.is_fresh().is_err()
+    }
 }
 
 impl AsyncRead for LingeringClose {
--- a/src/daemon/ingress/mod.rs
+++ b/src/daemon/ingress/mod.rs
@@ -140,11 +140,8 @@
     tokio::select! {
         biased;
         _ = connection.as_mut() => return,
-        () = permit.close.notified() => match permit.is_busy() {
-            // A request that has begun to arrive still gets its response.
-            true => connection.as_mut().graceful_shutdown(),
-            false => return,
-        },
+        // The stream ends before the next request; one that has begun to arrive still gets its response.
+        () = permit.closing.requested() => {}
         () = context.state.wait_for(|state| state == ListenerState::Closed) => connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
--- a/src/daemon/ingress/request_activity.rs
+++ b/src/daemon/ingress/request_activity.rs
@@ -12,12 +12,23 @@
 pub struct RequestActivity {
     stream: LingeringClose,
     permit: Arc<ConnectionPermit>,
+    /// The connection gives way to another one: nothing more is read.
+    has_ended: bool,
 }
 
 impl RequestActivity {
     /// Wraps the stream of the connection that has `permit`.
     pub fn new(stream: LingeringClose, permit: Arc<ConnectionPermit>) -> Self {
-        Self { stream, permit }
+        Self { stream, permit, has_ended: false }
+    }
+}
+
+impl RequestActivity {
+    /// Whether the connection ends here: it was asked to, and no part of a request has arrived. The system is asked last.
+    fn is_ending(&mut self) -> bool {
+        let is_asked = self.permit.closing.is_requested() && !self.permit.is_busy();
+        self.has_ended = self.has_ended || (is_asked && !self.stream.has_unread());
+        self.has_ended
     }
 }
 
@@ -27,6 +38,9 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.is_ending() {
+            return Poll::Ready(Ok(()));
+        }
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         if buf.filled().len() > before {
@@ -48,6 +62,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // Nothing was read since the last response: what arrives from here on stays unread, and its client sends it again.
+        if self.has_ended {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
