Run-time checks of sending, repeating, closing and starting, counted in the metrics

The limit on how young a connection may give way is the clients' alone: the admin endpoint closes the oldest caller as before.

--- a/crates/micadrum-fault-injection/src/sockets.rs
+++ b/crates/micadrum-fault-injection/src/sockets.rs
@@ -13,15 +13,31 @@
 const RECEIVE_ERRORS: [c_int; 3] = [libc::ECONNRESET, libc::ETIMEDOUT, libc::EHOSTUNREACH];
 const INTERRUPTED: [c_int; 1] = [libc::EINTR];
 
-/// Whether a descriptor is a socket.
-fn is_socket(descriptor: c_int) -> bool {
-    let mut kind: c_int = 0;
+/// Returns the address family of a socket; none if the descriptor is no socket.
+fn socket_domain(descriptor: c_int) -> Option<c_int> {
+    let mut domain: c_int = 0;
     let mut length = size_of::<c_int>() as socklen_t;
     // SAFETY: both pointers are valid for the call.
     let outcome = unsafe {
-        libc::getsockopt(descriptor, libc::SOL_SOCKET, libc::SO_TYPE, (&raw mut kind).cast(), &raw mut length)
+        let value = (&raw mut domain).cast();
+        libc::getsockopt(descriptor, libc::SOL_SOCKET, libc::SO_DOMAIN, value, &raw mut length)
     };
-    outcome == 0
+    (outcome == 0).then_some(domain)
+}
+
+/// Whether a descriptor is a socket.
+fn is_socket(descriptor: c_int) -> bool {
+    socket_domain(descriptor).is_some()
+}
+
+/// Returns the error of a transfer that a signal interrupts: on a TCP connection alone, as the pair of Unix sockets by which a
+/// process tells itself of signals never waits.
+fn interruption(descriptor: c_int) -> Option<c_int> {
+    let is_active = control().is_some_and(|control| control.is_active(FaultKind::Interrupt));
+    if !is_active || socket_domain(descriptor) != Some(libc::AF_INET) {
+        return None;
+    }
+    injected_error(FaultKind::Interrupt, &INTERRUPTED)
 }
 
 /// Returns the bytes that a transfer of `length` bytes may move: fewer, but at least one, if it has to be short.
@@ -40,9 +56,8 @@
 }
 
 /// Returns the error that a read from a socket fails with.
-fn receive_error() -> Option<c_int> {
-    injected_error(FaultKind::Interrupt, &INTERRUPTED)
-        .or_else(|| injected_error(FaultKind::Receive, &RECEIVE_ERRORS))
+fn receive_error(descriptor: c_int) -> Option<c_int> {
+    interruption(descriptor).or_else(|| injected_error(FaultKind::Receive, &RECEIVE_ERRORS))
 }
 
 /// Stands in for `accept4`. No connection is taken from the queue when the call fails, as with a lack of descriptors, or as
@@ -148,7 +163,7 @@
     flags: c_int,
 ) -> ssize_t {
     let is_peek = flags & libc::MSG_PEEK != 0;
-    if !is_peek && let Some(error) = receive_error() {
+    if !is_peek && let Some(error) = receive_error(descriptor) {
         return fail(error) as ssize_t;
     }
     let length = if is_peek { length } else { transfer_length(length) };
@@ -168,7 +183,7 @@
     length: size_t,
     flags: c_int,
 ) -> ssize_t {
-    if let Some(error) = injected_error(FaultKind::Interrupt, &INTERRUPTED) {
+    if let Some(error) = interruption(descriptor) {
         return fail(error) as ssize_t;
     }
     delay_write();
@@ -199,7 +214,7 @@
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn writev(descriptor: c_int, parts: *const iovec, count: c_int) -> ssize_t {
     if count > 0 && is_socket(descriptor) {
-        if let Some(error) = injected_error(FaultKind::Interrupt, &INTERRUPTED) {
+        if let Some(error) = interruption(descriptor) {
             return fail(error) as ssize_t;
         }
         delay_write();
--- a/crates/micadrum-testkit/src/live/process.rs
+++ b/crates/micadrum-testkit/src/live/process.rs
@@ -112,7 +112,7 @@
     }
 }
 
-/// Whether a line says why the process ends in disorder: its last error, or where it panicked.
+/// Whether a line says why the process ends in disorder, or that a run-time check found a violation.
 fn is_fatal(line: &str) -> bool {
-    line.starts_with("micadrum: ") || line.contains("panicked at")
+    line.starts_with("micadrum: ") || line.starts_with("violation: ") || line.contains("panicked at")
 }
--- a/crates/micadrum-testkit/src/plan/random_system_faults.rs
+++ b/crates/micadrum-testkit/src/plan/random_system_faults.rs
@@ -65,7 +65,7 @@
 fn draw_system_fault(rng: &mut SeededRng, at: Span, length: f64) -> Fault {
     let remaining = (length - at.as_secs()).max(0.2);
     let duration =
-        Some(draw_span(rng, 0.2, remaining.min(8.0).max(0.3)).min(Span::millis((remaining * 1e3) as u64)));
+        Some(draw_span(rng, 0.2, remaining.clamp(0.3, 8.0)).min(Span::millis((remaining * 1e3) as u64)));
     let share = Some(Percent(rng.between(20.0, 100.0).round()));
     let kind = [FaultKind::WallClock, FaultKind::Folder, FaultKind::SystemCalls][rng.below(3)];
     let mut fault = Fault { share, ..Fault::new(kind, at) };
--- a/src/daemon/admin_server.rs
+++ b/src/daemon/admin_server.rs
@@ -52,7 +52,7 @@
 /// Serves operators for as long as the process runs. When all permits are taken, the oldest caller is disconnected.
 pub async fn serve(listener: Box<dyn Listener>, context: AdminContext, log: Rc<dyn Log>) {
     let context = Rc::new(context);
-    let limits = ConnectionLimits::new(MAX_OPERATOR_CONNECTIONS, MAX_BODY_BYTES);
+    let limits = ConnectionLimits::new(MAX_OPERATOR_CONNECTIONS, MAX_BODY_BYTES, Duration::ZERO);
     let (started_at, mut log_limit) = (Instant::now(), ErrorLogLimit::default());
     loop {
         match listener.accept().await {
--- a/src/daemon/client_listener.rs
+++ b/src/daemon/client_listener.rs
@@ -39,6 +39,7 @@
             environment.events.clone(),
             environment.listener_state.clone(),
             environment.budget,
+            environment.violations.clone(),
             &environment.ports,
         );
         listen_for_successor(environment);
--- a/src/daemon/environment.rs
+++ b/src/daemon/environment.rs
@@ -16,6 +16,7 @@
 use super::ports::{Listener, Ports};
 use super::recovery::{self, RecoveryContext, RecoveryStart, RecoveryStatus};
 use super::resource_budget::ResourceBudget;
+use super::runtime_checks::Violations;
 use super::watch_cell::WatchCell;
 use super::{Signal, StartError, admin_server, journal_opening, membership, peer_reporting};
 use micadrum_config::{Durability, OperatorConfig};
@@ -42,6 +43,8 @@
     /// Takes events for the event loop.
     pub events: UnboundedSender<LoopEvent>,
     pub recovery: RecoveryStatus,
+    /// What the run-time checks of this process found.
+    pub violations: Violations,
     /// Where the discovery agent listens, which takes notifications, too.
     discovery: WatchCell<SocketAddr>,
     seed: u64,
@@ -82,6 +85,7 @@
             listener_state: WatchCell::new(ListenerState::Starting),
             events,
             recovery: RecoveryStatus::default(),
+            violations: Violations::default(),
             discovery: WatchCell::new(config.discovery),
             seed,
             schema: config.schema(),
@@ -197,6 +201,7 @@
             recovery: self.recovery.clone(),
             recovery_start,
             clock,
+            violations: self.violations.clone(),
         };
         Ok(EventLoop::new(start, journal, channels, self.budget, self.ports.clone())?)
     }
--- a/src/daemon/event_loop/admin.rs
+++ b/src/daemon/event_loop/admin.rs
@@ -140,6 +140,7 @@
         let metrics = Rc::new(Metrics {
             backend_calls: self.calls.messages_written(),
             inflight: self.messages.unfinished(),
+            violations: self.violations.counts(),
             hosts_listed: listed.clone().count(),
             hosts_down: listed.filter(|(id, tracked)| !tracked.is_serving || self.avoids(*id, now)).count(),
             ..self.metrics.counts.clone()
--- a/src/daemon/event_loop/construction.rs
+++ b/src/daemon/event_loop/construction.rs
@@ -74,8 +74,17 @@
         budget: ResourceBudget,
         ports: Ports,
     ) -> Result<Self, EventLoopError> {
-        let EventLoopConfig { config, schema, seed, inheritance, metrics, recovery, recovery_start, clock } =
-            start;
+        let EventLoopConfig {
+            config,
+            schema,
+            seed,
+            inheritance,
+            metrics,
+            recovery,
+            recovery_start,
+            clock,
+            violations,
+        } = start;
         let EarlierState { file, checkpoint, classes, age } =
             EarlierState::load(inheritance, &config.name, seed, &ports);
         let (storage, log) = (&*ports.storage, &*ports.log);
@@ -112,6 +121,7 @@
             metrics: MetricsRecorder::new(metrics),
             trace: Trace::new(ports.traces.calls, ports.log.clone()),
             clock,
+            violations,
             tasks: JoinSet::new(),
             events,
             ports,
@@ -121,6 +131,16 @@
         Ok(event_loop)
     }
 
+    /// Checks that every message of the journal was taken over, before anybody is served.
+    fn check_takeover(&self) {
+        let pending = self.messages.journal.pending().count();
+        let missing = pending.abs_diff(self.messages.len());
+        if missing > 0 {
+            self.violations.record_not_taken_over(missing as u64);
+            self.log(format_args!("violation: messages of the journal were not taken over count={missing}"));
+        }
+    }
+
     /// Takes over what an earlier process left, and decides on a first step.
     fn restore(
         &mut self,
@@ -140,6 +160,7 @@
         self.store_classes();
         self.adopt_journal_times();
         self.stamp_journal(recovery_start.stamp);
+        self.check_takeover();
         self.step();
         self.write_full_checkpoint();
         Ok(())
--- a/src/daemon/event_loop/mod.rs
+++ b/src/daemon/event_loop/mod.rs
@@ -32,6 +32,7 @@
 use super::poll_schedule::PollingTerms;
 use super::ports::Ports;
 use super::recovery::{RecoveryStart, RecoveryStatus};
+use super::runtime_checks::Violations;
 use super::trace::Trace;
 use super::watch_cell::WatchCell;
 use crate::{DeliveryEngine, Event, MessageId};
@@ -76,6 +77,7 @@
     metrics: MetricsRecorder,
     trace: Trace,
     clock: Clock,
+    violations: Violations,
     /// Calls and syncs under way.
     tasks: JoinSet<()>,
     /// Takes events for this loop.
@@ -115,6 +117,8 @@
     pub recovery_start: RecoveryStart,
     /// The clock, which continues that of the journal's earlier processes.
     pub clock: Clock,
+    /// What the run-time checks of this process found.
+    pub violations: Violations,
 }
 
 impl EventLoop {
--- a/src/daemon/ingress/connection_limits.rs
+++ b/src/daemon/ingress/connection_limits.rs
@@ -10,9 +10,6 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, SemaphorePermit};
 use tokio::time::{Instant, timeout};
 
-/// A connection on which nothing was ever sent gives way no sooner: clients send as soon as they are connected, and wait
-/// 400 ms for their response.
-const MIN_FRESH_AGE: Duration = Duration::from_millis(500);
 /// How often a connection is looked for that may give way to one that waits.
 const ADMISSION_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -22,6 +19,8 @@
     body_bytes: Semaphore,
     idle: Mutex<IdleConnections>,
     max_connections: usize,
+    /// A connection that has not had a response gives way no sooner.
+    min_fresh_age: Duration,
 }
 
 /// The place of an idle connection in the order in which they close: those that have had a response come first, and of
@@ -69,13 +68,15 @@
 }
 
 impl ConnectionLimits {
-    /// Allows `max_connections` at once, and request bodies of `max_body_bytes` in all of them together.
-    pub fn new(max_connections: usize, max_body_bytes: usize) -> Arc<Self> {
+    /// Allows `max_connections` at once, and request bodies of `max_body_bytes` in all of them together. A connection that
+    /// has not had a response gives way to another one once it is `min_fresh_age` old.
+    pub fn new(max_connections: usize, max_body_bytes: usize, min_fresh_age: Duration) -> Arc<Self> {
         Arc::new(Self {
             permits: Arc::new(Semaphore::new(max_connections)),
             body_bytes: Semaphore::new(max_body_bytes),
             idle: Mutex::default(),
             max_connections,
+            min_fresh_age,
         })
     }
 
@@ -103,7 +104,7 @@
     pub fn close_idle(&self) {
         let mut idle = self.idle();
         let Some(first) = idle.close.first_entry() else { return };
-        if !first.key().is_fresh || first.get().since.elapsed() >= MIN_FRESH_AGE {
+        if !first.key().is_fresh || first.get().since.elapsed() >= self.min_fresh_age {
             first.remove().closing.request();
         }
     }
@@ -128,6 +129,8 @@
     idle_place: Mutex<Option<IdlePlace>>,
     /// Whether the response to the last request has been made, and not been written yet.
     has_response: AtomicBool,
+    /// Whether a request was read whose response has not been written.
+    owes_response: AtomicBool,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -138,12 +141,23 @@
             closing: Arc::default(),
             idle_place: Mutex::default(),
             has_response: AtomicBool::default(),
+            owes_response: AtomicBool::default(),
             _permit: permit,
         };
         permit.enter_idle(true);
         permit
     }
 
+    /// Records that a request was read.
+    pub fn set_request_read(&self) {
+        self.owes_response.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a request was read whose response has not been written.
+    pub fn owes_response(&self) -> bool {
+        self.owes_response.load(Ordering::Relaxed)
+    }
+
     /// Records that the response to the last request is about to be written.
     pub fn set_responded(&self) {
         self.has_response.store(true, Ordering::Relaxed);
@@ -152,6 +166,7 @@
     /// Records that all that was to be written has been written: after a response, no request waits for another one.
     pub fn set_flushed(&self) {
         if self.has_response.swap(false, Ordering::Relaxed) {
+            self.owes_response.store(false, Ordering::Relaxed);
             self.enter_idle(false);
         }
     }
--- a/src/daemon/ingress/mod.rs
+++ b/src/daemon/ingress/mod.rs
@@ -13,6 +13,7 @@
 use super::events::{ListenerState, LoopEvent, SubmitResponse};
 use super::ports::{Listener, Log, Network, Ports, Stream};
 use super::resource_budget::ResourceBudget;
+use super::runtime_checks::Violations;
 use super::watch_cell::WatchCell;
 use bytes::Bytes;
 pub use connection_limits::{ConnectionLimits, ConnectionPermit};
@@ -44,6 +45,9 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2100);
 /// How long a request body may take. Clients wait 400 ms for their response, so a slower one has gone.
 const BODY_TIMEOUT: Duration = Duration::from_millis(500);
+/// A connection on which nothing was ever sent gives way no sooner: clients send as soon as they are connected, and wait
+/// 400 ms for their response.
+const MIN_FRESH_AGE: Duration = Duration::from_millis(500);
 /// How long accepting rests after an error that says something of the whole system, such as no descriptors left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -54,6 +58,7 @@
     network: Rc<dyn Network>,
     /// The address that clients connect to, also when another process listens there.
     address: SocketAddr,
+    violations: Violations,
 }
 
 /// Serves clients until the listener is closed or handed over, and every request that was read has its response.
@@ -63,9 +68,10 @@
     events: UnboundedSender<LoopEvent>,
     state: WatchCell<ListenerState>,
     budget: ResourceBudget,
+    violations: Violations,
     ports: &Ports,
 ) -> impl Future<Output = ()> + use<> {
-    let context = IngressContext { events, state, network: ports.network.clone(), address };
+    let context = IngressContext { events, state, network: ports.network.clone(), address, violations };
     accept(listener, Rc::new(context), budget, ports.log.clone())
 }
 
@@ -76,7 +82,7 @@
     log: Rc<dyn Log>,
 ) {
     let state = &context.state;
-    let limits = ConnectionLimits::new(budget.client_connections, budget.request_body_bytes);
+    let limits = ConnectionLimits::new(budget.client_connections, budget.request_body_bytes, MIN_FRESH_AGE);
     let (started_at, mut log_limit) = (Instant::now(), ErrorLogLimit::default());
     let is_over = |state| matches!(state, ListenerState::Closed | ListenerState::HandedOver);
     loop {
@@ -123,7 +129,8 @@
     permit: Arc<ConnectionPermit>,
     context: Rc<IngressContext>,
 ) {
-    let stream = RequestActivity::new(LingeringClose::new(stream), permit.clone());
+    let stream =
+        RequestActivity::new(LingeringClose::new(stream), permit.clone(), context.violations.clone());
     let service = service_fn(|request| {
         let (permit, context) = (permit.clone(), context.clone());
         async move { Ok::<_, Infallible>(respond(request, &permit, &context).await) }
@@ -223,6 +230,8 @@
         Ok(submission) => submission,
         Err(error) => return plain(StatusCode::BAD_REQUEST, format!("{error}\n")),
     };
+    // The last byte of the request was read: from here on its client is owed a response.
+    permit.set_request_read();
     let (reply, response) = oneshot::channel();
     let deadline = received_at + submission.remaining;
     let _ = context.events.send(LoopEvent::Submit { message: submission.message, deadline, reply });
--- a/src/daemon/ingress/request_activity.rs
+++ b/src/daemon/ingress/request_activity.rs
@@ -1,6 +1,7 @@
 //! A client's stream that marks its connection busy from the first byte of a request to the last one of the response.
 use super::ConnectionPermit;
 use super::lingering_close::LingeringClose;
+use crate::daemon::runtime_checks::Violations;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -14,12 +15,21 @@
     permit: Arc<ConnectionPermit>,
     /// The connection gives way to another one: nothing more is read.
     has_ended: bool,
+    /// The client has ended its sending or broken the connection off: nobody waits for a response.
+    has_client_left: bool,
+    violations: Violations,
 }
 
 impl RequestActivity {
     /// Wraps the stream of the connection that has `permit`.
-    pub fn new(stream: LingeringClose, permit: Arc<ConnectionPermit>) -> Self {
-        Self { stream, permit, has_ended: false }
+    pub fn new(stream: LingeringClose, permit: Arc<ConnectionPermit>, violations: Violations) -> Self {
+        Self { stream, permit, has_ended: false, has_client_left: false, violations }
+    }
+
+    /// Notes the end of what the client sends, or an error.
+    fn note_client<T>(&mut self, outcome: io::Result<T>) -> io::Result<T> {
+        self.has_client_left |= outcome.is_err();
+        outcome
     }
 }
 
@@ -42,9 +52,12 @@
             return Poll::Ready(Ok(()));
         }
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        self.note_client(read)?;
         if buf.filled().len() > before {
             self.permit.set_busy();
+        } else {
+            self.has_client_left = true;
         }
         Poll::Ready(Ok(()))
     }
@@ -52,7 +65,8 @@
 
 impl AsyncWrite for RequestActivity {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf));
+        Poll::Ready(self.note_client(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -69,3 +83,11 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+impl Drop for RequestActivity {
+    fn drop(&mut self) {
+        if self.permit.owes_response() && !self.has_client_left {
+            self.violations.record_unanswered_request();
+        }
+    }
+}
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics of one process, as operators read them. Free of I/O and clocks.
 use super::journal::FinalOutcome;
+use super::runtime_checks::ViolationCounts;
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -33,6 +34,8 @@
     pub reconfig_ok: u64,
     /// Reloaded configurations that were rejected.
     pub reconfig_failed: u64,
+    /// Violations of the delivery rules that the run-time checks found; all 0 in a correct program.
+    pub violations: ViolationCounts,
 }
 
 impl Metrics {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -36,6 +36,7 @@
 mod ready_stream;
 mod recovery;
 mod resource_budget;
+mod runtime_checks;
 mod standby;
 mod state_lock;
 pub mod system;
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -47,7 +47,7 @@
     pub(crate) settings: Settings,
     random: ChaCha8Rng,
     now: Timestamp,
-    messages: MessageTable,
+    pub(crate) messages: MessageTable,
     pub(crate) directory: Directory<Route>,
     calls: InFlightCalls,
     /// Endpoints that may be forgotten.
--- a/src/observe.rs
+++ b/src/observe.rs
@@ -1,7 +1,7 @@
 //! What the host reads of the decision core, and what a later process restores. Nothing here decides.
 use crate::decision::DeliveryEngine;
 use crate::pacing::{Health, Route};
-use crate::{EndpointId, EndpointState, Timestamp};
+use crate::{ClassId, EndpointId, EndpointState, MessageId, Timestamp};
 use serde::{Deserialize, Serialize};
 
 /// What was learned of one route: of an endpoint, or of a destination whose endpoints share a limit.
@@ -9,6 +9,11 @@
 pub struct RouteSnapshot(pub(crate) Route);
 
 impl DeliveryEngine {
+    /// Returns the class of a message that has not ended.
+    pub fn class_of(&self, message: MessageId) -> Option<ClassId> {
+        self.messages.get(message).map(|state| state.message.class)
+    }
+
     /// Returns whether nothing is sent to an endpoint at `now`, or nothing but a trial.
     pub fn is_avoided(&self, now: Timestamp, endpoint: EndpointId) -> bool {
         let Some(endpoint) = self.directory.endpoint(endpoint) else { return true };
--- a/tests/sockets/system_calls.rs
+++ b/tests/sockets/system_calls.rs
@@ -170,3 +170,24 @@
     node.begin().await;
     assert_eq!(node.request("GET /-/ready", "", b"").await.status(), 200);
 }
+
+/// Guards against run-time checks that stop what is allowed: after failures, repeats and a restart none has found anything.
+#[tokio::test]
+async fn run_time_checks_find_nothing() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let members = [member("s-1", endpoint.address, "single", "SERVING")];
+    let mut node = Node::start(&platform, &members).await;
+    for class in ["unsafe", "keyed", "ordered"] {
+        assert_eq!(node.hand_in(class, class, "k").await.status(), 202);
+        endpoint.call().await.reply(answer("500 Internal Server Error", "", ""));
+    }
+    let again = endpoint.call().await;
+    node.kill();
+    drop(again);
+    node.begin().await;
+    for _ in 0..2 {
+        endpoint.call().await.ok();
+    }
+    let violations = &node.figures().await["violations"];
+    assert_eq!(*violations, serde_json::json!({"sending": 0, "repeating": 0, "closing": 0, "starting": 0}));
+}
