--- a/src/daemon/journal/tests/replay.rs
+++ b/src/daemon/journal/tests/replay.rs
@@ -1,5 +1,7 @@
 //! What a reopened journal has: progress, damage, attempts that were not written or were taken back.
 use super::{NOW, attempt, ids, message, open};
+use crate::daemon::frame::append_frame;
+use crate::daemon::journal::record::Record;
 use crate::daemon::journal::{AttemptEffect, CorruptionReport, NAME};
 use std::fs::File;
 
@@ -98,3 +100,28 @@
         (1, &None, &None)
     );
 }
+
+/// Guards against a record that a client wrote into the body of a message: it is read as the journal's own if the frame around
+/// it is damaged and the reader searches in it for the next frame.
+#[test]
+fn a_record_within_the_body_of_a_damaged_one_is_not_read() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut journal, _) = open(folder.path());
+    let forged = Record::Accepted { number: 77, pending: Box::new(message("forged", 10)) };
+    let mut carrier = message("carrier", 0);
+    carrier.message.body = append_frame(&forged, vec![b'.'; 50]).unwrap().into();
+    journal.accept(carrier).unwrap();
+    let end = journal.length as usize;
+    journal.accept(message("next", 10)).unwrap();
+    let path = folder.path().join(NAME);
+    drop(journal);
+    let intact = std::fs::read(&path).unwrap();
+    // The checksum, the number, the id, the bytes before the forged record, and those behind it.
+    for at in [4, 8, 12, 40, end - 1] {
+        let mut bytes = intact.clone();
+        bytes[at] ^= 0x55;
+        std::fs::write(&path, &bytes).unwrap();
+        let (journal, report) = open(folder.path());
+        assert_eq!((ids(&journal), report.skipped_bytes), (vec!["next"], end), "byte {at}");
+    }
+}
