--- a/src/daemon/frame.rs
+++ b/src/daemon/frame.rs
@@ -42,6 +42,18 @@
     Some((postcard::from_bytes(payload).ok()?, HEADER_BYTES + payload_bytes))
 }
 
+/// Returns the length of a damaged frame at the start of `bytes`, if its length can be believed: the frame ends with the file,
+/// or right before a frame that is intact. What the damaged frame contains must not be searched for records: a message's body
+/// may hold any bytes.
+pub fn damaged_frame_bytes<T: DeserializeOwned>(bytes: &[u8]) -> Option<usize> {
+    let (length, _) = bytes.split_first_chunk::<4>()?;
+    let payload_bytes = u32::from_le_bytes(*length) as usize;
+    let frame_bytes = HEADER_BYTES + payload_bytes;
+    let rest = bytes.get(frame_bytes..).filter(|_| payload_bytes <= MAX_RECORD_BYTES)?;
+    let is_followed = rest.is_empty() || read_frame::<T>(rest).is_some();
+    is_followed.then_some(frame_bytes)
+}
+
 fn checksum(length: &[u8], payload: &[u8]) -> u32 {
     let mut sum = crc32fast::Hasher::new();
     sum.update(length);
--- a/src/daemon/journal/replay.rs
+++ b/src/daemon/journal/replay.rs
@@ -9,7 +9,7 @@
 use super::record::Record;
 use super::reserve::CapacityLimits;
 use crate::daemon::clock::ClockAnchor;
-use crate::daemon::frame::read_frame;
+use crate::daemon::frame::{damaged_frame_bytes, read_frame};
 use micadrum_recovery::JournalStamp;
 use std::fmt;
 
@@ -63,7 +63,7 @@
         }
     }
 
-    /// Applies the records in `bytes`, skipping what cannot be read. Adds to `report` what was skipped, and returns the
+    /// Applies the records in `bytes`, skipping what cannot be read: a damaged record whole, if its length can be believed. Adds to `report` what was skipped, and returns the
     /// length up to the end of the last record that could be read.
     pub fn replay(&mut self, bytes: &[u8], report: &mut CorruptionReport) -> u64 {
         let (mut position, mut end_of_last) = (0, 0);
@@ -75,7 +75,7 @@
                     end_of_last = position;
                     self.apply(record);
                 }
-                None => position += 1,
+                None => position += damaged_frame_bytes::<Record>(&bytes[position..]).unwrap_or(1),
             }
         }
         report.truncated_bytes = bytes.len() - end_of_last;
