Failing test: a repeat that a held-up write carries past its window

Need: the terms allow 0.15 s between reading the clock and writing, and deadlines and windows have to allow for that. guards.rs, is_retryable_at, leaves one step (5 ms): a repeat decided on 10 ms before the window's end may be written 140 ms after it.

--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -363,6 +363,22 @@
     assert!(!host.sender.is_call_still_allowed(Timestamp(start + 5 * SECOND), id, EndpointId(to)));
 }
 
+/// Guards against a repeat that is decided on within the window and written after it: the process may be held up for 0.15 s in
+/// between.
+#[test]
+fn a_repeat_leaves_room_for_a_write_that_is_held_up() {
+    const HELD_UP: u64 = 150_000;
+    let mut host = Host::new(settings(), vec![entry(1, 0, 0, 0)]);
+    let (start, id) = (host.now, MessageId(1));
+    host.message(1, KEYED_ALL, 1);
+    host.ended(1, 0, Outcome::Reset);
+    let (_, to) = sent_at(&host.run(4 * SECOND), 1).unwrap();
+    let is_allowed = |at| host.sender.is_call_still_allowed(Timestamp(at), id, EndpointId(to));
+    let last_safe = start + 5 * SECOND - HELD_UP;
+    assert!(is_allowed(last_safe - 20_000));
+    assert!(!is_allowed(last_safe));
+}
+
 /// Guards against taking a restart for a new beginning: attempts, effects and keys of the process before.
 #[test]
 fn a_resumed_message_goes_on_where_it_was() {
