A repeat is decided on 0.15 s before its destination forgets the key

Cause: decision/guards.rs, is_retryable_at, and index/message_table.rs, retry_bounds, left one step before the end of the window; a process that is held up for up to 0.15 s between its clock and its write sent after it.

Change: Settings::retry_window, asked by both, takes the step and 0.15 s (MAX_HOLD_UP) off.

--- a/src/decision/guards.rs
+++ b/src/decision/guards.rs
@@ -93,7 +93,7 @@
             Idempotency::Idempotent => true,
             Idempotency::NonIdempotent => false,
             Idempotency::WithKey { window, .. } => {
-                since(at, attempt.sent_at) + self.settings.min_step_interval.0 < window.0
+                since(at, attempt.sent_at) < self.settings.retry_window(window).0
             }
         }
     }
--- a/src/index/message_table.rs
+++ b/src/index/message_table.rs
@@ -246,10 +246,10 @@
 ) -> RetryBounds {
     match (idempotency, state.first_uncertain_attempt) {
         (Idempotency::WithKey { scope, window }, Some(attempt)) => {
-            let end = attempt.sent_at.0 + window.0;
+            let end = attempt.sent_at.0 + settings.retry_window(window).0;
             RetryBounds {
                 required_zone: Some(attempt.zone).filter(|_| scope == DeduplicationScope::Zone),
-                closes_at: Some(Timestamp(end.saturating_sub(settings.min_step_interval.0))),
+                closes_at: Some(Timestamp(end)),
             }
         }
         (Idempotency::NonIdempotent, Some(_)) => RetryBounds { required_zone: None, closes_at: Some(now) },
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -160,7 +160,17 @@
     pub rules: Rules,
 }
 
+/// How long a process may be held up between reading its clock and writing.
+pub const MAX_HOLD_UP: TimeDelta = TimeDelta(150_000);
+
 impl Settings {
+    /// Returns how long after the first attempt that may have run a further one may be decided on: it is written before the
+    /// destination forgets the key after `window`, also if the process is held up.
+    #[must_use]
+    pub fn retry_window(&self, window: TimeDelta) -> TimeDelta {
+        TimeDelta(window.0.saturating_sub(self.min_step_interval.0 + MAX_HOLD_UP.0))
+    }
+
     /// Checks whether the settings can be acted on.
     ///
     /// # Errors
