An end whose deadline is this very moment is told, and the loop does not spin on it

Cause: event_loop/journal_repair.rs, release_ends kept an end whose deadline is now, while journal_repair_due was due for it: a loop in which no time passes, in simulated time for ever, on a real clock for a microsecond.

Change: such an end is released. The unit test asks at the deadline itself.

--- a/src/daemon/event_loop/journal_repair.rs
+++ b/src/daemon/event_loop/journal_repair.rs
@@ -33,7 +33,7 @@
     /// Returns the ends that may be told at `now`.
     fn release_ends(&mut self, lacks_records: bool, now: Timestamp) -> Vec<Notification> {
         let still_held = match lacks_records {
-            true => self.unrecorded_ends.split_off(&(now, 0)),
+            true => self.unrecorded_ends.split_off(&(Timestamp(now.0 + 1), 0)),
             false => BTreeMap::new(),
         };
         std::mem::replace(&mut self.unrecorded_ends, still_held).into_values().collect()
--- a/src/daemon/event_loop/journal_repair/tests.rs
+++ b/src/daemon/event_loop/journal_repair/tests.rs
@@ -18,7 +18,7 @@
     repair.hold_end(Timestamp(10), end(2));
     repair.hold_end(Timestamp(20), end(3));
     assert_eq!(numbers(repair.release_ends(true, Timestamp(9))), [0; 0]);
-    assert_eq!(numbers(repair.release_ends(true, Timestamp(21))), [2, 3]);
+    assert_eq!(numbers(repair.release_ends(true, Timestamp(20))), [2, 3], "at its deadline, too");
     assert_eq!(repair.first_deadline(), Some(Timestamp(30)));
     assert_eq!(numbers(repair.release_ends(false, Timestamp(22))), [1]);
     assert_eq!(repair.first_deadline(), None);
