--- a/src/daemon/environment.rs
+++ b/src/daemon/environment.rs
@@ -9,7 +9,6 @@
 use super::events::{ListenerState, LoopEvent};
 use super::handover::InheritedState;
 use super::journal::{CorruptionReport, Journal};
-use super::local_failure::is_local;
 use super::metrics::Metrics;
 use super::notifications::{self, Notification};
 use super::poll_schedule::PollSchedule;
@@ -18,21 +17,14 @@
 use super::resource_budget::ResourceBudget;
 use super::runtime_checks::Violations;
 use super::watch_cell::WatchCell;
-use super::{Signal, StartError, admin_server, journal_opening, membership, peer_reporting};
+use super::{Signal, StartError, admin_server, journal_opening, listening, membership, peer_reporting};
 use micadrum_config::{Durability, OperatorConfig};
-use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::task::{JoinSet, spawn_local};
-use tokio::time::{Instant, sleep};
-
-/// How long an address that cannot be listened at is waited for.
-const LISTEN_PATIENCE: Duration = Duration::from_secs(5);
-/// How often listening is tried.
-const LISTEN_RETRY_DELAY: Duration = Duration::from_millis(20);
+use tokio::time::Instant;
 
 /// What stays fixed for the life of a process.
 pub struct Environment {
@@ -253,7 +245,7 @@
     ) -> Result<BoundListener, StartError> {
         let listener = match inherited {
             Some(inherited) => self.ports.network.adopt(inherited),
-            None => self.listen_patiently(address).await,
+            None => listening::listen(&*self.ports.network, address).await,
         };
         let bound =
             listener.and_then(|listener| listener.local_addr().map(|at| BoundListener { listener, at }));
@@ -261,27 +253,6 @@
     }
 }
 
-impl Environment {
-    /// Listens at an address as soon as that is possible. An address that another process holds may be free in a moment, too.
-    async fn listen_patiently(&self, address: SocketAddr) -> io::Result<Box<dyn Listener>> {
-        let deadline = Instant::now() + LISTEN_PATIENCE;
-        loop {
-            match self.ports.network.listen(address).await {
-                Err(error) if is_temporary(&error) && Instant::now() < deadline => {
-                    sleep(LISTEN_RETRY_DELAY).await;
-                }
-                listener => return listener,
-            }
-        }
-    }
-}
-
-/// Whether an error of listening may pass.
-fn is_temporary(error: &io::Error) -> bool {
-    error.kind() == io::ErrorKind::AddrInUse
-        || is_local(error) && error.kind() != io::ErrorKind::AddrNotAvailable
-}
-
 /// A listening socket, and the address that it is bound to.
 pub struct BoundListener {
     pub listener: Box<dyn Listener>,
--- a/src/daemon/event_loop/calls.rs
+++ b/src/daemon/event_loop/calls.rs
@@ -7,9 +7,8 @@
 use crate::daemon::journal::{Attempt, AttemptEffect, FinalOutcome, JournalError, SubmittedMessage};
 use crate::daemon::notifications::Notification;
 use crate::daemon::outbound_call::{BatchedMessage, Call, CallContext};
-use crate::daemon::runtime_checks::{SendFacts, SendViolation, UncertainSend, check_send};
 use crate::daemon::trace;
-use crate::{EndpointId, Event, Idempotency, LoadReport, MessageId, Outcome, TimeDelta, Timestamp};
+use crate::{EndpointId, Event, LoadReport, MessageId, Outcome, TimeDelta, Timestamp};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -122,28 +121,6 @@
         self.perform_when_durable(DeferredEffect::Call(call));
     }
 
-    /// Checks an attempt against the journal and the endpoint list, apart from the engine's own guards.
-    fn check_attempt(&self, number: u32, endpoint: EndpointId, now: Timestamp) -> Result<(), SendViolation> {
-        let Some(pending) = self.messages.journal.get(number) else { return Err(SendViolation::Finished) };
-        let tracked = self.endpoints.get(endpoint);
-        let class = self.engine.class_of(MessageId(number));
-        let idempotency = class.map_or(Idempotency::NonIdempotent, |class| {
-            self.configuration.settings.classes[class.0].idempotency
-        });
-        let uncertain = pending.first_uncertain_attempt.as_ref().map(|attempt| UncertainSend {
-            started_at: Timestamp(attempt.started_at),
-            is_same_zone: tracked.is_some_and(|tracked| tracked.listed.zone == attempt.zone),
-        });
-        check_send(&SendFacts {
-            now,
-            is_finished: pending.final_outcome.is_some(),
-            is_in_flight: pending.active_attempt.is_some(),
-            is_endpoint_serving: tracked.is_some_and(|tracked| tracked.is_serving),
-            idempotency,
-            uncertain,
-        })
-    }
-
     /// Makes a call whose records are as durable as they have to be.
     pub(super) fn start_call(&mut self, call: Call) {
         self.calls.spawn(call, &mut self.tasks);
--- a/src/daemon/event_loop/mod.rs
+++ b/src/daemon/event_loop/mod.rs
@@ -6,6 +6,7 @@
 //! methods that use it most.
 mod admin;
 mod admission;
+mod attempt_check;
 mod calls;
 mod checkpointing;
 mod configuration;
--- a/src/daemon/journal/mod.rs
+++ b/src/daemon/journal/mod.rs
@@ -24,9 +24,9 @@
 mod record;
 mod replay;
 mod reserve;
+mod writing;
 
 use super::clock::ClockAnchor;
-use super::frame::append_frame;
 use super::ports::{AppendFile, LocalFuture, Storage};
 pub use error::JournalError;
 use error::Operation;
@@ -39,6 +39,7 @@
 use reserve::{CapacityLimits, Reserve};
 use std::io;
 use std::rc::Rc;
+use writing::{FileHealth, no_file};
 
 /// The journal's file.
 const NAME: &str = "messages.wal";
@@ -58,19 +59,6 @@
     Uncertain,
 }
 
-/// How far the file can be relied on.
-#[derive(Clone, Copy, Default, PartialEq, Eq)]
-struct FileHealth {
-    /// Bytes of an incomplete record may stand behind the last complete one.
-    is_tail_torn: bool,
-    /// The file may lose its name with the machine: the folder could not be synced after the rename.
-    is_name_unsynced: bool,
-    /// Records of ends could not be written, and are part of the state in memory alone.
-    lacks_records: bool,
-    /// A file that could not be read still has the journal's name, and must not be replaced.
-    must_set_aside: bool,
-}
-
 /// The open journal, with the state that its records add up to.
 pub struct Journal {
     folder: Rc<dyn Storage>,
@@ -392,92 +380,6 @@
         let with_rewritten_file = self.length + self.state.stored_bytes();
         self.reserve.is_held() && with_rewritten_file < self.limits.max_bytes_with_other_files()
     }
-
-    /// Writes a record and applies it. A record that cannot be written is applied all the same, except for what must not
-    /// happen without it: the next compaction, which is tried at once, writes the state.
-    fn append(&mut self, record: Record) -> Result<(), JournalError> {
-        // What may not use the space of the reserve must not be written while the reserve is released, either.
-        if !record.uses_reserve() {
-            self.acquire_reserve();
-        }
-        let written = self.write_record(&record);
-        self.last_sequence += 1;
-        if written.is_ok() || !record.must_be_written() {
-            self.health.lacks_records |= written.is_err();
-            self.state.apply(record);
-        }
-        if self.length > self.compact_at || written.is_err() || self.needs_rewrite() {
-            self.compact();
-        }
-        written.map_err(Operation::Append.failed())
-    }
-
-    fn write_record(&mut self, record: &Record) -> io::Result<()> {
-        let mut buffer = std::mem::take(&mut self.buffer);
-        buffer.clear();
-        let frame = append_frame(record, buffer)?;
-        let written = if record.uses_reserve() {
-            self.write_with_reserve(&frame)
-        } else if self.reserve.is_held() {
-            self.write(&frame)
-        } else {
-            Err(io::ErrorKind::StorageFull.into())
-        };
-        self.buffer = frame;
-        written
-    }
-
-    /// Writes a frame; if that fails, releases the reserve and tries once more.
-    fn write_with_reserve(&mut self, frame: &[u8]) -> io::Result<()> {
-        let written = self.write(frame);
-        if written.is_err() && self.reserve.release(&*self.folder)? {
-            return self.write(frame);
-        }
-        written
-    }
-
-    fn write(&mut self, frame: &[u8]) -> io::Result<()> {
-        self.cut_torn_tail()?;
-        let file = self.file.as_mut().ok_or_else(no_file)?;
-        let written = file.append(frame);
-        match written {
-            Ok(()) => self.length += frame.len() as u64,
-            Err(_) => {
-                self.health.is_tail_torn = true;
-                // Tried again before the next record.
-                let _ = self.cut_torn_tail();
-            }
-        }
-        written
-    }
-
-    /// Cuts off what may stand behind the last complete record: it must not remain between complete ones.
-    fn cut_torn_tail(&mut self) -> io::Result<()> {
-        if !self.health.is_tail_torn {
-            return Ok(());
-        }
-        self.file.as_mut().ok_or_else(no_file)?.truncate(self.length)?;
-        self.health.is_tail_torn = false;
-        Ok(())
-    }
-
-    /// Makes the name of the file durable, if that failed before.
-    fn sync_name(&mut self) -> io::Result<()> {
-        if self.health.is_name_unsynced {
-            self.folder.sync_names()?;
-            self.health.is_name_unsynced = false;
-        }
-        Ok(())
-    }
-
-    fn acquire_reserve(&mut self) {
-        self.reserve.acquire(&*self.folder, &self.limits);
-    }
-}
-
-/// The error where there is no file to write to.
-fn no_file() -> io::Error {
-    io::Error::new(io::ErrorKind::NotFound, "the file could not be opened")
 }
 
 /// Whether an error of a read says something of the file that waiting does not change.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -24,6 +24,7 @@
 mod ingress;
 mod journal;
 mod journal_opening;
+mod listening;
 mod local_failure;
 mod maintenance;
 mod membership;
--- a/tests/sockets/system_calls.rs
+++ b/tests/sockets/system_calls.rs
@@ -23,6 +23,14 @@
     }
 }
 
+/// Has the sender take on the keyed message `m1` and call for it, and kills the sender meanwhile.
+async fn kill_with_a_call_out(node: &mut Node, endpoint: &mut Peer) {
+    assert_eq!(node.hand_in("m1", "keyed", "").await.status(), 202);
+    let call = endpoint.call().await;
+    node.kill();
+    drop(call);
+}
+
 /// Sends a request for the readiness on an open connection, and returns the status of the response.
 async fn readiness_on(stream: &mut TcpStream) -> Option<u16> {
     stream.write_all(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await.ok()?;
@@ -104,10 +112,7 @@
     let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
     let members = [member("s-1", endpoint.address, "single", "SERVING")];
     let mut node = Node::start_with_faults(&platform, &members, |_| {}).await;
-    assert_eq!(node.hand_in("m1", "keyed", "").await.status(), 202);
-    let call = endpoint.call().await;
-    node.kill();
-    drop(call);
+    kill_with_a_call_out(&mut node, &mut endpoint).await;
     node.faults().begin(Fault::always(FaultKind::FolderWrite)).unwrap();
     node.faults().begin(Fault::always(FaultKind::TornWrite)).unwrap();
     node.begin().await;
@@ -127,10 +132,7 @@
     let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
     let members = [member("s-1", endpoint.address, "single", "SERVING")];
     let mut node = Node::start_with_faults(&platform, &members, |_| {}).await;
-    assert_eq!(node.hand_in("m1", "keyed", "").await.status(), 202);
-    let call = endpoint.call().await;
-    node.kill();
-    drop(call);
+    kill_with_a_call_out(&mut node, &mut endpoint).await;
     node.faults().begin(Fault::always(FaultKind::FolderRead).at_most(5)).unwrap();
     node.begin().await;
     let call = endpoint.call().await;
