Ends that were held back wait for the sync like all others

Found on reading the change: event_loop/journal_repair.rs sent them past DurableEffects, so that with outlasts = machine an end could be told before its record was durable, where the folder's sync failed behind the rename. They go through perform_when_durable now, the one way for notifications; without durability nothing changes. No test forces the instant. Two impl blocks of RequestActivity are one.

--- a/src/daemon/event_loop/journal_repair.rs
+++ b/src/daemon/event_loop/journal_repair.rs
@@ -1,6 +1,7 @@
 //! What the event loop does while the folder fails: it tries to rewrite the journal, and holds back ends that a process after
 //! a restart would not know of.
 use super::EventLoop;
+use super::durable_effects::DeferredEffect;
 use crate::Timestamp;
 use crate::daemon::error_log_limit::ErrorLogLimit;
 use crate::daemon::notifications::Notification;
@@ -61,7 +62,7 @@
         }
         let lacks_records = self.messages.journal.lacks_records();
         for notification in self.journal_repair.release_ends(lacks_records, self.clock.now()) {
-            let _ = self.notifications.send(notification);
+            self.perform_when_durable(DeferredEffect::Notification(notification));
         }
     }
 
--- a/src/daemon/ingress/request_activity.rs
+++ b/src/daemon/ingress/request_activity.rs
@@ -31,9 +31,7 @@
         self.has_client_left |= outcome.is_err();
         outcome
     }
-}
 
-impl RequestActivity {
     /// Whether the connection ends here: it was asked to, and no part of a request has arrived. The system is asked last.
     fn is_ending(&mut self) -> bool {
         let is_asked = self.permit.closing.is_requested() && !self.permit.is_busy();
