Trace requests, connections and refusals; log responses that no request asked for

MICADRUM_TRACE=requests: each request with message IDs, attempt, connection and use of it; its outcome; the reason of each close and refusal. Always logged, at most once a second: an unsolicited response on an idle connection. Existing trace lines, metrics and wire forms are unchanged. Connections of calls are closed through EndpointConnection, which names the reason.

Result: unit tests of the connection and the pool pass (8 of 8); the two new ones force a second response together with the first one, later, and a plain close. Behaviour is not changed yet.

--- a/crates/micadrum-testkit/src/sim/fleet.rs
+++ b/crates/micadrum-testkit/src/sim/fleet.rs
@@ -128,7 +128,13 @@
                 storage: Rc::new(ProcessFolder { disk: node.disk.clone(), process: process.clone() }),
                 log: Rc::new(SimLog { sender, origin: self.origin, show: self.show_logs, sink: log }),
                 handover: None,
-                traces: Traces { calls: self.show_logs, peers: true, recovery: true, storage: false },
+                traces: Traces {
+                    calls: self.show_logs,
+                    requests: self.show_logs,
+                    peers: true,
+                    recovery: true,
+                    storage: false,
+                },
                 boot: Some(BootId([node.boot.get(); 16])),
                 entropy,
             };
--- a/src/daemon/connection/mod.rs
+++ b/src/daemon/connection/mod.rs
@@ -19,6 +19,7 @@
 use observed_stream::{Exchange, ObservedStream, SharedExchange};
 use request_progress::RequestProgress;
 use status_line::StatusLine;
+use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -76,6 +77,20 @@
         network: &dyn Network,
         address: SocketAddr,
         connect_timeout: Duration,
+    ) -> Result<Self, CallError> {
+        Self::open_watched(network, address, connect_timeout, || {}).await
+    }
+
+    /// Opens a connection to `address`. Calls `on_unsolicited` if the peer sends something while no request
+    /// is in progress; the connection is closed then.
+    ///
+    /// # Errors
+    /// Returns an error if connecting fails or takes longer than `connect_timeout`.
+    pub async fn open_watched(
+        network: &dyn Network,
+        address: SocketAddr,
+        connect_timeout: Duration,
+        on_unsolicited: impl FnOnce() + 'static,
     ) -> Result<Self, CallError> {
         let stream = match timeout(connect_timeout, network.connect(address)).await {
             Ok(stream) => stream.map_err(CallError::Connect)?,
@@ -87,7 +102,12 @@
         let handshake = builder.max_buf_size(MAX_RESPONSE_BYTES).handshake(io);
         let (requests, connection) = handshake.await.map_err(CallError::IncompleteRequest)?;
         // An error of the connection is reported by the call on it, or by `is_alive`.
-        let driver = spawn_local(async move { drop(connection.await) }).abort_handle();
+        let drive = async move {
+            if connection.await.is_err_and(|error| is_unsolicited_input(&error)) {
+                on_unsolicited();
+            }
+        };
+        let driver = spawn_local(drive).abort_handle();
         Ok(Self { requests, exchange, driver })
     }
 
@@ -156,6 +176,19 @@
     }
 }
 
+/// Returns whether a connection failed because it received bytes while no request was in progress. Such an
+/// error has no cause, unlike one of the system, and hyper has no predicate for it.
+fn is_unsolicited_input(error: &hyper::Error) -> bool {
+    let is_other = error.is_incomplete_message()
+        || error.is_canceled()
+        || error.is_closed()
+        || error.is_parse()
+        || error.is_body_write_aborted()
+        || error.is_timeout()
+        || error.is_user();
+    !is_other && error.source().is_none()
+}
+
 /// Returns a builder for a request to `host`, with its `Host` header.
 pub fn request(method: Method, path: &str, host: SocketAddr) -> Builder {
     Request::builder().method(method).uri(path).header(HOST, host.to_string())
--- a/src/daemon/connection/tests.rs
+++ b/src/daemon/connection/tests.rs
@@ -64,6 +64,71 @@
     });
 }
 
+/// Guards against a second response to a request that nobody notices, whether it comes together with the
+/// first one or later.
+#[test]
+fn reports_input_on_an_idle_connection() {
+    const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for is_split in [false, true] {
+        run_local(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let (first_received, mut second_allowed) = tokio::sync::mpsc::unbounded_channel();
+            let peer = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                if is_split {
+                    stream.write_all(RESPONSE).await.unwrap();
+                    second_allowed.recv().await.unwrap();
+                    stream.write_all(RESPONSE).await.unwrap();
+                } else {
+                    stream.write_all(&[RESPONSE, RESPONSE].concat()).await.unwrap();
+                }
+                stream.read(&mut [0; 1024]).await.unwrap_or(0)
+            };
+            let noticed = Arc::new(Notify::new());
+            let notice = noticed.clone();
+            let calls = async {
+                let limit = Duration::from_secs(20);
+                let mut connection =
+                    Connection::open_watched(&Tcp, address, limit, move || notice.notify_one())
+                        .await
+                        .unwrap();
+                let first = connection.send(post(address), Bytes::new(), None).await;
+                assert!(first.unwrap().into_body().collect().await.is_ok());
+                let _ = first_received.send(());
+                timeout(limit, noticed.notified()).await.expect("the second response was not noticed");
+                assert!(connection.is_closed());
+            };
+            let (sent_after_it, ()) = tokio::join!(peer, calls);
+            assert_eq!(sent_after_it, 0);
+        });
+    }
+}
+
+/// Guards against reporting a close by the peer as input on an idle connection.
+#[test]
+fn reports_no_input_when_the_peer_closes_an_idle_connection() {
+    run_local(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let peer = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+        };
+        let limit = Duration::from_secs(20);
+        let calls = async {
+            let report = || panic!("a close was reported as input");
+            let mut connection = Connection::open_watched(&Tcp, address, limit, report).await.unwrap();
+            let first = connection.send(post(address), Bytes::new(), None).await;
+            assert!(first.unwrap().into_body().collect().await.is_ok());
+            assert!(!timeout(limit, connection.is_alive()).await.unwrap_or(true));
+        };
+        tokio::join!(peer, calls);
+    });
+}
+
 /// Guards against accepting bytes that arrived before a request as its response. The runtime has not read
 /// them yet when the request is sent, and nothing may be written to the connection.
 #[test]
--- a/src/daemon/connection_pool.rs
+++ b/src/daemon/connection_pool.rs
@@ -1,6 +1,7 @@
-//! A pool of idle connections. It reads no clock, and performs no I/O except that dropping a connection
-//! closes it.
-use super::connection::Connection;
+//! A pool of idle connections. It reads no clock, and performs no I/O except that it closes
+//! connections.
+use super::endpoint_connection::EndpointConnection;
+use super::request_trace::CloseReason;
 use crate::EndpointId;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -11,11 +12,18 @@
 pub trait Poolable {
     /// Returns whether the connection is known to be closed.
     fn is_closed(&self) -> bool;
+
+    /// Closes the connection.
+    fn close(self, reason: CloseReason);
 }
 
-impl Poolable for Connection {
+impl Poolable for EndpointConnection {
     fn is_closed(&self) -> bool {
-        Connection::is_closed(self)
+        self.connection.is_closed()
+    }
+
+    fn close(self, reason: CloseReason) {
+        Self::close(self, reason);
     }
 }
 
@@ -57,7 +65,7 @@
         pool
     }
 
-    /// Sets the time after which endpoints close an idle connection. The pool drops connections after 80 % of
+    /// Sets the time after which endpoints close an idle connection. The pool closes connections after 80 % of
     /// it.
     pub fn set_idle_timeout(&mut self, server_idle_timeout: Duration) {
         self.idle_timeout = server_idle_timeout * 4 / 5;
@@ -66,15 +74,17 @@
     /// Removes and returns the most recently used connection to the endpoint at the address, or `None` if all
     /// have expired or are closed.
     pub fn take(&mut self, endpoint: EndpointId, address: SocketAddr, now: Instant) -> Option<C> {
-        self.drop_expired(now);
+        self.close_expired(now);
         let idle = self.idle.get_mut(&(endpoint, address))?;
         let mut taken = None;
         while let Some((number, connection)) = idle.pop_back() {
             self.by_age.remove(&number);
-            if !connection.is_closed() {
-                taken = Some(connection);
-                break;
+            if connection.is_closed() {
+                connection.close(CloseReason::ClosedByEndpoint);
+                continue;
             }
+            taken = Some(connection);
+            break;
         }
         if idle.is_empty() {
             self.idle.remove(&(endpoint, address));
@@ -82,14 +92,15 @@
         taken
     }
 
-    /// Adds an idle connection. If the pool is full, drops its oldest connection.
+    /// Adds an idle connection. If the pool is full, closes its oldest connection.
     pub fn put(&mut self, endpoint: EndpointId, address: SocketAddr, connection: C, now: Instant) {
-        self.drop_expired(now);
+        self.close_expired(now);
         if self.max_connections == 0 {
+            connection.close(CloseReason::PoolFull);
             return;
         }
         if self.by_age.len() >= self.max_connections {
-            self.drop_oldest();
+            self.close_oldest(CloseReason::PoolFull);
         }
         let target = (endpoint, address);
         self.idle.entry(target).or_default().push_back((self.next_number, connection));
@@ -108,23 +119,27 @@
             for (number, _) in idle {
                 self.by_age.remove(number);
             }
-            self.idle.remove(&target);
+            for (_, connection) in self.idle.remove(&target).into_iter().flatten() {
+                connection.close(CloseReason::EndpointOutOfService);
+            }
         }
     }
 
     /// Closes connections that have reached the idle timeout.
-    fn drop_expired(&mut self, now: Instant) {
+    fn close_expired(&mut self, now: Instant) {
         while let Some((_, oldest)) = self.by_age.first_key_value()
             && now.saturating_duration_since(oldest.since) >= self.idle_timeout
         {
-            self.drop_oldest();
+            self.close_oldest(CloseReason::IdleTimeout);
         }
     }
 
-    fn drop_oldest(&mut self) {
+    fn close_oldest(&mut self, reason: CloseReason) {
         let Some((_, IdleSince { target, .. })) = self.by_age.pop_first() else { return };
         let Some(idle) = self.idle.get_mut(&target) else { return };
-        idle.pop_front();
+        if let Some((_, connection)) = idle.pop_front() {
+            connection.close(reason);
+        }
         if idle.is_empty() {
             self.idle.remove(&target);
         }
--- a/src/daemon/connection_pool/tests.rs
+++ b/src/daemon/connection_pool/tests.rs
@@ -11,6 +11,8 @@
     fn is_closed(&self) -> bool {
         self.1.get()
     }
+
+    fn close(self, _: CloseReason) {}
 }
 
 /// Compares random operations with those on a plain list. Guards against a connection that is returned twice,
--- a/src/daemon/event_loop/admission.rs
+++ b/src/daemon/event_loop/admission.rs
@@ -2,6 +2,7 @@
 use super::EventLoop;
 use crate::daemon::events::{InvalidMessage, SubmitResponse};
 use crate::daemon::journal::{PendingMessage, SubmittedMessage};
+use crate::daemon::request_trace::RefusalReason;
 use crate::daemon::trace::MessageEnd;
 use crate::{ClassId, DestinationId, Event, Idempotency, Message, MessageId, OrderKey, TimeDelta};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -44,19 +45,23 @@
 
     /// Returns the rejection of a valid message if there is no capacity for it now, or `None` if there is.
     fn shed(&self, pending: &PendingMessage, message: &Message) -> Option<SubmitResponse> {
+        let id = &pending.message.id;
         if self.is_journal_lost() {
+            self.calls.context.trace.refused(id, RefusalReason::JournalFailing);
             return Some(SubmitResponse::Rejected);
         }
         let status = &self.recovery.status;
         let wait =
             status.rejection_time_left(self.redelivery(message.class)).or_else(|| status.admit().err());
         if let Some(wait) = wait {
+            self.calls.context.trace.refused(id, RefusalReason::Recovering);
             return Some(SubmitResponse::RetryAfter(wait));
         }
         let now = self.clock.now();
         if !self.engine.admits(now, self.messages.unfinished(), message.destination) {
             let SubmittedMessage { destination, class, .. } = &pending.message;
             self.trace.message_ended(now, *destination, MessageEnd::Rejected, class, 0);
+            self.calls.context.trace.refused(id, RefusalReason::NoCapacity);
             return Some(SubmitResponse::Rejected);
         }
         None
@@ -65,7 +70,7 @@
     /// Records a message in the journal, and hands it to the engine.
     fn accept(&mut self, pending: PendingMessage, mut message: Message) -> SubmitResponse {
         let now = self.clock.now();
-        let class = pending.message.class.clone();
+        let (id, class) = (pending.message.id.clone(), pending.message.class.clone());
         if self.configuration.config.operator.recovery.is_some() {
             self.recovery.time_marker.record_if_due(&mut self.messages.journal, now.0);
         }
@@ -78,6 +83,7 @@
             }
             Err(error) => {
                 self.metrics.counts.record_rejected(&class);
+                self.calls.context.trace.refused(&id, RefusalReason::JournalWriteFailed);
                 self.log_rate_limited(format_args!(
                     "admission: message rejected, journal write failed error={error}"
                 ));
--- a/src/daemon/event_loop/calls.rs
+++ b/src/daemon/event_loop/calls.rs
@@ -1,12 +1,13 @@
 //! Calls to endpoints: starting them, recording the outcomes of their attempts, and ending messages.
 use super::EventLoop;
 use super::durable_effects::DeferredEffect;
-use crate::daemon::connection::Connection;
 use crate::daemon::connection_pool::ConnectionPool;
+use crate::daemon::endpoint_connection::EndpointConnection;
 use crate::daemon::events::{AttemptOutcome, CallCompletion, LoopEvent};
 use crate::daemon::journal::{Attempt, AttemptEffect, FinalOutcome, JournalError, SubmittedMessage};
 use crate::daemon::notifications::Notification;
 use crate::daemon::outbound_call::{BatchedMessage, Call, CallContext};
+use crate::daemon::request_trace::CloseReason;
 use crate::daemon::trace;
 use crate::{EndpointId, Event, LoadReport, MessageId, Outcome, TimeDelta, Timestamp};
 use std::collections::BTreeMap;
@@ -21,13 +22,13 @@
     /// The start time of each call, by call number.
     started: BTreeMap<u64, Timestamp>,
     next_number: u64,
-    pub(super) pool: ConnectionPool<Connection>,
+    pub(super) pool: ConnectionPool<EndpointConnection>,
     pub(super) context: CallContext,
 }
 
 impl CallTable {
     /// Creates an empty table.
-    pub(super) fn new(pool: ConnectionPool<Connection>, context: CallContext) -> Self {
+    pub(super) fn new(pool: ConnectionPool<EndpointConnection>, context: CallContext) -> Self {
         Self { started: BTreeMap::new(), next_number: 0, pool, context }
     }
 
@@ -104,6 +105,7 @@
             batch.push(BatchedMessage {
                 number,
                 id: pending.message.id.clone(),
+                attempt: pending.attempts_started.saturating_sub(1),
                 idempotency_key: pending.message.idempotency_key.clone(),
                 body: pending.message.body.clone(),
             });
@@ -117,7 +119,8 @@
         let number = self.calls.register(now);
         let expires = self.clock.instant(expires);
         let connect_timeout = self.configuration.connect_timeout();
-        let call = Call { number, endpoint, address, messages: batch, expires, connect_timeout };
+        let started = Instant::now();
+        let call = Call { number, endpoint, address, messages: batch, started, expires, connect_timeout };
         self.perform_when_durable(DeferredEffect::Call(call));
     }
 
@@ -146,14 +149,24 @@
         &mut self,
         endpoint: EndpointId,
         address: SocketAddr,
-        connection: Connection,
+        connection: EndpointConnection,
     ) {
         let tracked = self.endpoints.get(endpoint);
         if tracked.is_some_and(|tracked| tracked.is_serving && tracked.listed.address == address) {
             self.calls.pool.put(endpoint, address, connection, Instant::now());
+        } else {
+            connection.close(CloseReason::EndpointOutOfService);
         }
     }
 
+    /// Logs that an endpoint has sent something while no request was in progress on the connection.
+    pub(super) fn record_unsolicited_response(&mut self, endpoint: EndpointId) {
+        let id = self.endpoints.get(endpoint).map_or("unknown", |tracked| &tracked.listed.id).to_owned();
+        self.log_rate_limited(format_args!(
+            "calls: unsolicited response on an idle connection, connection closed endpoint={id}"
+        ));
+    }
+
     /// Processes the completion of a call.
     pub(super) fn complete_call(&mut self, completion: CallCompletion) {
         let CallCompletion { number, endpoint, completed_at, outcomes, retry_after, report } = completion;
--- a/src/daemon/event_loop/construction.rs
+++ b/src/daemon/event_loop/construction.rs
@@ -23,6 +23,7 @@
 use crate::daemon::outbound_call::CallContext;
 use crate::daemon::ports::Ports;
 use crate::daemon::recovery::RecoveryOutcome;
+use crate::daemon::request_trace::RequestTrace;
 use crate::daemon::resource_budget::ResourceBudget;
 use crate::daemon::trace::Trace;
 use crate::daemon::watch_cell::WatchCell;
@@ -103,6 +104,7 @@
             written_messages: Arc::new(AtomicU64::new(metrics.backend_calls)),
             unread_responses: Arc::new(Semaphore::new(budget.unread_responses)),
             events: events.clone(),
+            trace: RequestTrace::new(ports.traces.requests, ports.log.clone()),
         };
         let pool = ConnectionPool::new(idle_timeout(profile), budget.idle_connections);
         let mut event_loop = Self {
--- a/src/daemon/event_loop/mod.rs
+++ b/src/daemon/event_loop/mod.rs
@@ -203,6 +203,7 @@
             LoopEvent::ConnectionIdle { endpoint, address, connection } => {
                 self.pool_connection(endpoint, address, connection);
             }
+            LoopEvent::UnsolicitedResponse(endpoint) => self.record_unsolicited_response(endpoint),
             LoopEvent::EndpointList(list) => self.apply_endpoint_list(list),
             LoopEvent::NotificationsAcknowledged(messages) => self.acknowledge(messages),
             LoopEvent::Shutdown(requested_at) => self.begin_shutdown(requested_at),
--- a/src/daemon/event_loop/shutdown.rs
+++ b/src/daemon/event_loop/shutdown.rs
@@ -162,6 +162,7 @@
         while let Ok(event) = events.try_recv() {
             match event {
                 LoopEvent::CallCompleted(_)
+                | LoopEvent::UnsolicitedResponse(_)
                 | LoopEvent::NotificationsAcknowledged(_)
                 | LoopEvent::EndpointList(_) => self.handle(event),
                 LoopEvent::Shutdown(_)
--- a/src/daemon/events.rs
+++ b/src/daemon/events.rs
@@ -1,7 +1,7 @@
 //! The events and requests that the daemon's tasks send to each other. The tasks depend on this module and
 //! not on each other.
 use super::config::{Config, ConfigReadError};
-use super::connection::Connection;
+use super::endpoint_connection::EndpointConnection;
 use super::endpoint_list::EndpointList;
 use super::handover::Successor;
 use super::journal::SubmittedMessage;
@@ -74,8 +74,10 @@
         /// The remote address of the connection.
         address: SocketAddr,
         /// The idle connection, for reuse.
-        connection: Connection,
+        connection: EndpointConnection,
     },
+    /// An endpoint has sent something on a connection on which no request was in progress.
+    UnsolicitedResponse(EndpointId),
     /// The discovery agent has sent an endpoint list, or changes to one.
     EndpointList(EndpointList),
     /// The platform has acknowledged the notifications of these messages.
--- a/src/daemon/outbound_call/mod.rs
+++ b/src/daemon/outbound_call/mod.rs
@@ -3,9 +3,11 @@
 mod response;
 
 use super::connection::{CallError, Connection, WrittenCounter, request};
+use super::endpoint_connection::EndpointConnection;
 use super::events::{AttemptOutcome, CallCompletion, LoopEvent};
 use super::local_failure::is_local;
 use super::ports::{Log, Ports};
+use super::request_trace::{CloseReason, RequestTrace, TracedMessage};
 use crate::{EndpointId, LoadReport, Outcome, TimeDelta};
 use batch::BatchResults;
 use bytes::Bytes;
@@ -34,16 +36,26 @@
 pub struct BatchedMessage {
     pub number: u32,
     pub id: String,
+    /// The number of the attempt, from 0.
+    pub attempt: u32,
     pub idempotency_key: Option<String>,
     pub body: Bytes,
 }
 
+impl BatchedMessage {
+    fn traced(&self) -> TracedMessage<'_> {
+        TracedMessage { id: &self.id, attempt: self.attempt }
+    }
+}
+
 /// A call to an endpoint with one or more messages.
 pub struct Call {
     pub number: u64,
     pub endpoint: EndpointId,
     pub address: SocketAddr,
     pub messages: Vec<BatchedMessage>,
+    /// When the call began.
+    pub started: Instant,
     /// When the call times out.
     pub expires: Instant,
     pub connect_timeout: Duration,
@@ -60,20 +72,33 @@
     pub written_messages: Arc<AtomicU64>,
     /// Permits to read the rest of a response after the outcome of its call is known.
     pub unread_responses: Arc<Semaphore>,
+    /// The trace of requests, connections and refusals.
+    pub trace: RequestTrace,
     /// The channel to the event loop.
     pub events: UnboundedSender<LoopEvent>,
 }
 
 /// A response whose head has arrived, and its connection.
 struct OpenResponse {
-    connection: Connection,
+    connection: EndpointConnection,
     response: Response<Incoming>,
 }
 
+/// An exchange without a valid response head. Its connection is closed.
+struct FailedExchange {
+    outcome: Outcome,
+    /// Whether any byte of the request was written.
+    has_started: bool,
+}
+
 impl Call {
     /// Makes the call on the `idle` connection or on a new one. Sends the outcomes to the event loop as soon
     /// as they are known, and returns the connection if it can be reused.
-    pub async fn run(self, idle: Option<Connection>, context: &CallContext) -> Option<Connection> {
+    pub async fn run(
+        self,
+        idle: Option<EndpointConnection>,
+        context: &CallContext,
+    ) -> Option<EndpointConnection> {
         let open = match self.open(idle, context).await {
             Ok(Some(open)) => open,
             Ok(None) => {
@@ -89,57 +114,94 @@
         self.finish(open, context).await
     }
 
-    /// Reads the response and reports the outcomes.
-    async fn finish(&self, open: OpenResponse, context: &CallContext) -> Option<Connection> {
+    /// Reads the response and reports the outcomes. Returns the connection if it can carry another call.
+    async fn finish(&self, open: OpenResponse, context: &CallContext) -> Option<EndpointConnection> {
         let OpenResponse { connection, response } = open;
         let (head, body) = response.into_parts();
         let retry_after = response::retry_after(&head.headers);
         let report = context.report_fields.read(&head.headers);
-        if head.status == StatusCode::OK && self.messages.len() == 1 {
+        let received_at = Instant::now();
+        let is_complete = if head.status == StatusCode::OK && self.messages.len() == 1 {
             // The message is delivered whatever the body is. The body is only read so that the connection can
             // be reused.
+            self.trace_response(&connection, Outcome::Success);
             self.complete(context, self.same_outcome_for_all(Outcome::Success, true), retry_after, report);
-            let _permit = context.unread_responses.try_acquire().ok()?;
-            return response::complete_body(body).await.is_some().then_some(connection);
-        }
-        // Any other response counts only if it is complete: if it is not, the endpoint may have processed the
-        // messages, regardless of the head. The outcomes of a batch are in the body.
-        let received_at = Instant::now();
-        let body = timeout_at(self.expires, response::complete_body(body)).await.ok().flatten();
-        let outcomes = match &body {
-            Some(body) if head.status == StatusCode::OK => {
-                self.batch_outcomes(body, retry_after, &*context.ports.log)
+            match context.unread_responses.try_acquire() {
+                Ok(_permit) => response::complete_body(body).await.is_some(),
+                Err(_) => false,
             }
-            Some(_) => {
-                let (outcome, completes) = response::outcome(head.status, &head.headers, retry_after);
-                self.same_outcome_for_all(outcome, completes)
+        } else {
+            // Any other response counts only if it is complete: if it is not, the endpoint may have processed
+            // the messages, regardless of the head. The outcomes of a batch are in the body.
+            let body = timeout_at(self.expires, response::complete_body(body)).await.ok().flatten();
+            let outcomes = match &body {
+                Some(body) if head.status == StatusCode::OK => {
+                    self.batch_outcomes(body, retry_after, &*context.ports.log)
+                }
+                Some(_) => {
+                    let (outcome, completes) = response::outcome(head.status, &head.headers, retry_after);
+                    self.same_outcome_for_all(outcome, completes)
+                }
+                None => self.same_outcome_for_all(Outcome::Failure, false),
+            };
+            if let Some(first) = outcomes.first() {
+                self.trace_response(&connection, first.outcome);
             }
-            None => self.same_outcome_for_all(Outcome::Failure, false),
+            self.complete_at(received_at, context, outcomes, retry_after, report);
+            body.is_some()
         };
-        self.complete_at(received_at, context, outcomes, retry_after, report);
-        body.is_some().then_some(connection)
+        if !is_complete {
+            connection.close(CloseReason::CallFailed);
+            return None;
+        }
+        Some(connection)
     }
 
     /// Sends the request, and waits for the head of the response. Returns `None` if the event loop no longer
     /// permits sending the messages.
     async fn open(
         &self,
-        idle: Option<Connection>,
+        idle: Option<EndpointConnection>,
         context: &CallContext,
     ) -> Result<Option<OpenResponse>, Outcome> {
-        if let Some(mut connection) = idle
-            && connection.is_alive().await
-        {
-            match self.send(&mut connection, context).await {
-                // The idle connection was stale. No byte of the request was written, so sending it on a new
-                // connection does not repeat it.
-                Err(Outcome::ConnectFailed) if !connection.has_request_started() => {}
-                response => return response.map(|response| Some(OpenResponse { connection, response })),
+        if let Some(mut connection) = idle {
+            if connection.connection.is_alive().await {
+                match self.exchange(connection, context).await {
+                    // The idle connection was stale. No byte of the request was written, so sending it on a
+                    // new connection does not repeat it.
+                    Err(FailedExchange { outcome: Outcome::ConnectFailed, has_started: false }) => {}
+                    Err(failed) => return Err(failed.outcome),
+                    Ok(open) => return Ok(Some(open)),
+                }
+            } else {
+                connection.close(CloseReason::ClosedByEndpoint);
             }
         }
-        let Some(mut connection) = self.connect(context).await? else { return Ok(None) };
-        let response = self.send(&mut connection, context).await?;
-        Ok(Some(OpenResponse { connection, response }))
+        let Some(connection) = self.connect(context).await? else { return Ok(None) };
+        self.exchange(connection, context).await.map(Some).map_err(|failed| failed.outcome)
+    }
+
+    /// Sends the request on a connection, and waits for the head of the response. Closes the connection if
+    /// that fails.
+    async fn exchange(
+        &self,
+        mut connection: EndpointConnection,
+        context: &CallContext,
+    ) -> Result<OpenResponse, FailedExchange> {
+        connection.trace.request(self.number, self.messages.iter().map(BatchedMessage::traced));
+        match self.send(&mut connection.connection, context).await {
+            Ok(response) => Ok(OpenResponse { connection, response }),
+            Err(outcome) => {
+                let has_started = connection.connection.has_request_started();
+                self.trace_response(&connection, outcome);
+                connection.close(CloseReason::CallFailed);
+                Err(FailedExchange { outcome, has_started })
+            }
+        }
+    }
+
+    fn trace_response(&self, connection: &EndpointConnection, outcome: Outcome) {
+        connection.trace.response(self.number, outcome, self.started.elapsed());
     }
 
     async fn send(
@@ -188,12 +250,19 @@
     /// Opens a connection. Connecting is retried until the connect timeout after an error of the local
     /// machine, which does not depend on the endpoint. If only such errors occur, the attempt is deferred and
     /// does not count.
-    async fn open_connection(&self, context: &CallContext) -> Result<Connection, Outcome> {
+    async fn open_connection(&self, context: &CallContext) -> Result<EndpointConnection, Outcome> {
         let time_left = self.expires.saturating_duration_since(Instant::now());
         let deadline = Instant::now() + time_left.min(self.connect_timeout);
         loop {
             let remaining = deadline.saturating_duration_since(Instant::now());
-            match Connection::open(&*context.ports.network, self.address, remaining).await {
+            let (network, trace) = (&*context.ports.network, &context.trace);
+            let (endpoint, events) = (self.endpoint, context.events.clone());
+            let on_unsolicited = move || {
+                let _ = events.send(LoopEvent::UnsolicitedResponse(endpoint));
+            };
+            let opened =
+                EndpointConnection::open(network, self.address, remaining, trace, on_unsolicited).await;
+            match opened {
                 Err(CallError::Connect(error)) if is_local(&error) => {
                     if Instant::now() + LOCAL_FAILURE_RETRY_DELAY >= deadline {
                         return Err(Outcome::Deferred);
@@ -207,14 +276,18 @@
 
     /// Opens a connection for the call. Returns `None` if the event loop no longer permits sending the
     /// messages once the connection is open.
-    async fn connect(&self, context: &CallContext) -> Result<Option<Connection>, Outcome> {
+    async fn connect(&self, context: &CallContext) -> Result<Option<EndpointConnection>, Outcome> {
         let connection = self.open_connection(context).await?;
         let (is_allowed, allowed) = oneshot::channel();
         let messages = self.messages.iter().map(|message| message.number).collect();
         let connected = LoopEvent::Connected { endpoint: self.endpoint, messages, is_allowed };
         let _ = context.events.send(connected);
         // After the event loop has ended, no message is sent.
-        Ok(allowed.await.unwrap_or(false).then_some(connection))
+        if !allowed.await.unwrap_or(false) {
+            connection.close(CloseReason::CallWithdrawn);
+            return Ok(None);
+        }
+        Ok(Some(connection))
     }
 
     fn request(&self) -> (Builder, Bytes) {
--- a/src/daemon/ports.rs
+++ b/src/daemon/ports.rs
@@ -216,6 +216,8 @@
     pub recovery: bool,
     /// A line for each file that is created, synced or renamed.
     pub storage: bool,
+    /// A line for each request to an endpoint, response, closed connection and refused message.
+    pub requests: bool,
 }
 
 impl Traces {
@@ -228,6 +230,7 @@
             peers: named("peers"),
             recovery: named("recovery"),
             storage: named("storage"),
+            requests: named("requests"),
         }
     }
 }
--- a/src/daemon/trace.rs
+++ b/src/daemon/trace.rs
@@ -119,7 +119,8 @@
     }
 }
 
-fn outcome_name(outcome: Outcome) -> &'static str {
+/// Returns the name of an outcome in trace lines.
+pub fn outcome_name(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Success => "success",
         Outcome::Failure => "failure",
