--- a/crates/micadrum-testkit/src/cli.rs
+++ b/crates/micadrum-testkit/src/cli.rs
@@ -88,6 +88,9 @@
     /// Add random faults of the senders' clocks and folders
     #[arg(long)]
     pub system_faults: bool,
+    /// Add random faults of endpoints and agents that answer more than once
+    #[arg(long)]
+    pub answer_faults: bool,
     /// Add no random faults; inject only those of the scenario
     #[arg(long, conflicts_with = "peer_faults")]
     pub planned: bool,
@@ -126,6 +129,7 @@
             world: !self.peer_faults && !self.planned,
             peers: self.peer_faults,
             system: self.system_faults,
+            answers: self.answer_faults,
         }
     }
 
@@ -133,12 +137,13 @@
     pub fn replay_options(&self) -> String {
         let length = self.scenario.length.map_or(String::new(), |length| format!(" --length \"{length}\""));
         let system_faults = if self.system_faults { " --system-faults" } else { "" };
+        let answer_faults = if self.answer_faults { " --answer-faults" } else { "" };
         let random_faults = match (self.planned, self.peer_faults) {
             (true, _) => "",
             (_, true) => " --peer-faults",
             _ => " --random-faults",
         };
-        format!("{length}{random_faults}{system_faults}")
+        format!("{length}{random_faults}{system_faults}{answer_faults}")
     }
 }
 
@@ -160,6 +165,9 @@
     /// Add random faults of the senders' system calls, clocks and folders, drawn from the seed
     #[arg(long)]
     pub system_faults: bool,
+    /// Add random faults of endpoints and agents that answer more than once, drawn from the seed
+    #[arg(long)]
+    pub answer_faults: bool,
     /// Also write the report as JSON
     #[arg(long, value_name = "FILE")]
     pub json: Option<PathBuf>,
@@ -171,8 +179,12 @@
 impl RunArgs {
     /// Returns the plan of this run, drawn from `scenario`.
     pub fn plan(&self, scenario: &Scenario) -> Plan {
-        let random_faults =
-            RandomFaults { world: self.random_faults, peers: self.peer_faults, system: self.system_faults };
+        let random_faults = RandomFaults {
+            world: self.random_faults,
+            peers: self.peer_faults,
+            system: self.system_faults,
+            answers: self.answer_faults,
+        };
         self.scenario.plan(scenario, self.seed, random_faults)
     }
 }
@@ -211,6 +223,9 @@
         if random_faults.system {
             plan.add_system_faults();
         }
+        if random_faults.answers {
+            plan.add_answer_faults();
+        }
         if let Some(FaultSelection(numbers)) = &self.faults {
             plan.retain_faults(numbers);
         }
@@ -230,6 +245,8 @@
     pub peers: bool,
     /// Faults of the senders' system calls, clocks and folders.
     pub system: bool,
+    /// Faults of endpoints and agents that answer more than once.
+    pub answers: bool,
 }
 
 /// Why an argument could not be parsed.
--- a/crates/micadrum-testkit/src/http.rs
+++ b/crates/micadrum-testkit/src/http.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::pin::pin;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 /// Maximum length of a head or a body.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
@@ -15,6 +15,15 @@
 pub struct HttpConnection {
     connection: Box<dyn TestConnection>,
     buffer: Vec<u8>,
+    last_answer: Vec<u8>,
+    /// Repetitions of answers that have not been written yet.
+    repetitions: Vec<RepeatedAnswer>,
+}
+
+/// An answer that is written once more, whether or not there is a request for it.
+struct RepeatedAnswer {
+    due: Instant,
+    bytes: Vec<u8>,
 }
 
 /// A request or an answer to one.
@@ -45,14 +54,59 @@
 impl HttpConnection {
     /// Creates an HTTP connection on an open network connection.
     pub fn new(connection: Box<dyn TestConnection>) -> Self {
-        Self { connection, buffer: Vec::new() }
+        Self { connection, buffer: Vec::new(), last_answer: Vec::new(), repetitions: Vec::new() }
     }
 
     async fn read_more(&mut self) -> io::Result<bool> {
         if self.buffer.len() > MAX_MESSAGE_BYTES {
             return Err(malformed("message is longer than 1 MiB"));
         }
-        Ok(self.connection.read_buf(&mut self.buffer).await? > 0)
+        loop {
+            let due = self.next_repetition();
+            tokio::select! {
+                biased;
+                read = self.connection.read_buf(&mut self.buffer) => return Ok(read? > 0),
+                () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
+                    self.write_due_repetitions().await;
+                }
+            }
+        }
+    }
+
+    fn next_repetition(&self) -> Option<Instant> {
+        self.repetitions.iter().map(|repetition| repetition.due).min()
+    }
+
+    /// Writes the repetitions that are due. Errors are ignored: the next read reports them.
+    async fn write_due_repetitions(&mut self) {
+        let now = Instant::now();
+        let (due, later) =
+            std::mem::take(&mut self.repetitions).into_iter().partition(|repetition| repetition.due <= now);
+        self.repetitions = later;
+        let due: Vec<RepeatedAnswer> = due;
+        for repetition in due {
+            let _ = self.write(&repetition.bytes).await;
+        }
+    }
+
+    /// Writes an answer, and keeps it so that it can be repeated.
+    ///
+    /// # Errors
+    /// Returns an error if the connection is broken.
+    pub async fn write_answer(&mut self, bytes: Vec<u8>) -> io::Result<()> {
+        self.write(&bytes).await?;
+        self.last_answer = bytes;
+        Ok(())
+    }
+
+    /// Writes the last answer once more at `due`, while the connection is read from. Returns false if there is
+    /// none.
+    pub fn repeat_last_answer(&mut self, due: Instant) -> bool {
+        let has_answered = !self.last_answer.is_empty();
+        if has_answered {
+            self.repetitions.push(RepeatedAnswer { due, bytes: self.last_answer.clone() });
+        }
+        has_answered
     }
 
     fn last_sent_at(&self) -> Instant {
@@ -99,7 +153,16 @@
     /// Waits until the peer closes the connection or sends unexpected bytes, and returns when it did so.
     pub async fn wait_for_close(&mut self) -> Instant {
         let mut discarded = [0; 512];
-        let _ = self.connection.read(&mut discarded).await;
+        loop {
+            let due = self.next_repetition();
+            tokio::select! {
+                biased;
+                _ = self.connection.read(&mut discarded) => break,
+                () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
+                    self.write_due_repetitions().await;
+                }
+            }
+        }
         // The simulated network knows this time even if the close itself was lost on the link.
         self.connection.closed_at().unwrap_or_else(|| self.last_sent_at())
     }
--- a/crates/micadrum-testkit/src/live/mod.rs
+++ b/crates/micadrum-testkit/src/live/mod.rs
@@ -50,12 +50,16 @@
         let world = World::new(plan.clone(), Rc::new(Loopback), fleet.clone(), link_faults).await?;
         run_scenario(&world, |_, _| {}).await?;
         let now = world.now();
+        let repeated_answers = world.repeated_answers();
         let mut recorder = world.into_recorder();
         let verdict = recorder.verdict(now, plan.scenario.has_peers());
-        let injected = injected_counts(&fleet.nodes)?;
+        let mut injected = injected_counts(&fleet.nodes)?;
         if has_system_call_faults && injected.values().all(|count| *count == 0) {
             return Err(io::Error::other("the plan has faults of system calls, but none was injected"));
         }
+        if repeated_answers > 0 {
+            injected.insert("repeated-answer", repeated_answers);
+        }
         let mut report = Report::new(&plan, &recorder, verdict, true);
         report.results.injected = injected;
         Ok(report)
--- a/crates/micadrum-testkit/src/main.rs
+++ b/crates/micadrum-testkit/src/main.rs
@@ -106,7 +106,7 @@
 
 fn run_soak(args: &SoakArgs) -> Result<ExitCode, CommandError> {
     let scenario = read_scenario(&args.scenario.file)?;
-    let faults = RandomFaults { world: false, peers: false, system: !args.planned };
+    let faults = RandomFaults { world: false, peers: false, system: !args.planned, answers: !args.planned };
     let plan = |seed| args.scenario.plan(&scenario, seed, faults);
     let finished = |run: &soak::SoakRun| {
         println!("{}", run.line());
--- a/crates/micadrum-testkit/src/plan/description.rs
+++ b/crates/micadrum-testkit/src/plan/description.rs
@@ -27,7 +27,13 @@
             FaultKind::Full | FaultKind::Errors | FaultKind::Spoil | FaultKind::Reset => {
                 vec![format!("{:.0}% of the calls", self.call_share * 100.0)]
             }
-            FaultKind::Late | FaultKind::ListLag | FaultKind::LinkDelay => {
+            FaultKind::RepeatAnswers | FaultKind::RepeatAgentAnswers => vec![format!(
+                "{:.0}% of the answers, up to {} after {:?}",
+                self.call_share * 100.0,
+                self.delay,
+                self.repeat_trigger
+            )],
+            FaultKind::Late | FaultKind::LateRejections | FaultKind::ListLag | FaultKind::LinkDelay => {
                 vec![format!("delay {}", self.delay)]
             }
             FaultKind::Stall => vec![format!("a pause of {} every {}", self.pause, self.interval)],
--- a/crates/micadrum-testkit/src/plan/faults.rs
+++ b/crates/micadrum-testkit/src/plan/faults.rs
@@ -44,6 +44,7 @@
             jitter: fault.jitter.unwrap_or_default(),
             return_period: fault.return_period.unwrap_or_default(),
             folder: fault.folder.unwrap_or(default_folder(fault.kind)),
+            repeat_trigger: fault.repeat_trigger.unwrap_or_default(),
             system: system_fault(fault),
         }
     }
--- a/crates/micadrum-testkit/src/plan/mod.rs
+++ b/crates/micadrum-testkit/src/plan/mod.rs
@@ -7,6 +7,7 @@
 mod model;
 mod parameters;
 mod random;
+mod random_answer_faults;
 mod random_faults;
 mod random_system_faults;
 
--- a/crates/micadrum-testkit/src/plan/model.rs
+++ b/crates/micadrum-testkit/src/plan/model.rs
@@ -1,6 +1,6 @@
 //! The parts of a plan: message classes, destinations, endpoints, senders, client operations and faults.
 use crate::scenario::{
-    CutDirection, FaultKind, FolderContent, FolderError, StopMethod, SystemCall, WritePoint,
+    CutDirection, FaultKind, FolderContent, FolderError, RepeatTrigger, StopMethod, SystemCall, WritePoint,
 };
 use crate::units::Span;
 
@@ -186,6 +186,8 @@
     pub lost_senders: Vec<u32>,
     /// Maximum error of the senders' wall clocks after a power loss, in either direction.
     pub max_clock_error: Span,
+    /// The event after which a response is sent a second time.
+    pub repeat_trigger: RepeatTrigger,
     /// The parameters of faults of system calls, wall clocks and state folders.
     pub system: SystemFault,
 }
--- a/crates/micadrum-testkit/src/scenario/fault.rs
+++ b/crates/micadrum-testkit/src/scenario/fault.rs
@@ -17,12 +17,18 @@
     Shut,
     /// Endpoints reject a share of the calls as over capacity.
     Full,
+    /// Endpoints send their rejections only after `delay`.
+    LateRejections,
     /// Endpoints fail a share of the calls immediately.
     Errors,
     /// Endpoints corrupt a share of their responses.
     Spoil,
     /// Endpoints reset the connection of a share of the calls after processing them.
     Reset,
+    /// Endpoints send a share of their responses a second time, up to `delay` later.
+    RepeatAnswers,
+    /// The senders' agents send a share of their responses a second time, up to `delay` later.
+    RepeatAgentAnswers,
     /// The endpoints' machines stop responding; connections to them are never established.
     Vanish,
     /// The endpoints' processes end; connections to them are refused.
@@ -117,6 +123,17 @@
     In,
 }
 
+/// The event after which a response is sent a second time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RepeatTrigger {
+    /// The response itself.
+    #[default]
+    Answer,
+    /// The next request on the connection.
+    NextRequest,
+}
+
 /// The content of a sender's state folder after a restart.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -261,6 +278,9 @@
     pub error: Option<FolderError>,
     /// Whether a failing write to the state folder writes a part of its data first.
     pub torn: Option<bool>,
+    /// The event after which a response is sent a second time.
+    #[serde(rename = "after")]
+    pub repeat_trigger: Option<RepeatTrigger>,
     /// The size of the step of a wall clock.
     pub step: Option<Span>,
     /// Whether a wall clock is set back rather than forward.
@@ -299,6 +319,7 @@
             call: None,
             error: None,
             torn: None,
+            repeat_trigger: None,
             step: None,
             backward: None,
         }
--- a/crates/micadrum-testkit/src/scenario/fault_fields.rs
+++ b/crates/micadrum-testkit/src/scenario/fault_fields.rs
@@ -20,11 +20,15 @@
     pub(super) fn fields(self) -> FaultFields {
         let (required, optional): (&[&str], &[&str]) = match self {
             Self::Hang | Self::Shut | Self::Vanish | Self::Die | Self::DeadHosts => (&["for"], DESTINATIONS),
-            Self::Late => (&["for", "delay"], DESTINATIONS),
+            Self::Late | Self::LateRejections => (&["for", "delay"], DESTINATIONS),
             Self::Stall => (&["for", "pause", "every"], DESTINATIONS),
             Self::Full | Self::Errors | Self::Spoil | Self::Reset | Self::LimitFalls => {
                 (&["for", "calls"], DESTINATIONS)
             }
+            Self::RepeatAnswers => (&["for", "calls", "delay"], &["partners", "share", "building", "after"]),
+            Self::RepeatAgentAnswers => {
+                (&["for", "calls", "delay"], &["senders", "share", "building", "after"])
+            }
             Self::Drain | Self::Move | Self::Rename => (&[], DESTINATIONS),
             Self::MoveDiscovery => (&[], SENDERS),
             Self::ListLag | Self::LinkDelay => (&["for", "delay"], &[]),
@@ -92,6 +96,7 @@
             ("call", self.call.is_some()),
             ("error", self.error.is_some()),
             ("torn", self.torn.is_some()),
+            ("after", self.repeat_trigger.is_some()),
             ("step", self.step.is_some()),
             ("backward", self.backward.is_some()),
         ])
--- a/crates/micadrum-testkit/src/scenario/mod.rs
+++ b/crates/micadrum-testkit/src/scenario/mod.rs
@@ -6,7 +6,8 @@
 mod validation;
 
 pub use fault::{
-    CutDirection, Fault, FaultKind, FolderContent, FolderError, StopMethod, SystemCall, WritePoint,
+    CutDirection, Fault, FaultKind, FolderContent, FolderError, RepeatTrigger, StopMethod, SystemCall,
+    WritePoint,
 };
 pub use fault_validation::FaultError;
 pub use schema::{AdminSnapshotPlan, Discovery, Peak, Scenario};
--- a/crates/micadrum-testkit/src/world/destination_model/condition.rs
+++ b/crates/micadrum-testkit/src/world/destination_model/condition.rs
@@ -1,5 +1,6 @@
 //! The degradation of an endpoint at a given time.
 use crate::observation::Micros;
+use crate::world::repeated_answers::Repetition;
 
 /// An endpoint that fails a larger share of its calls than this counts as out of service.
 const OUTAGE_ERROR_SHARE: f64 = 0.8;
@@ -17,12 +18,16 @@
     pub unavailable_until: Option<Micros>,
     /// The share of calls that are rejected.
     pub rejected_share: f64,
+    /// The time from a rejected call to its answer, in microseconds.
+    pub rejection_latency: Micros,
     /// The share of calls that fail quickly.
     pub error_share: f64,
     /// The share of answers that are corrupted.
     pub corrupted_share: f64,
     /// The share of calls whose connection is reset after the call has run.
     pub reset_share: f64,
+    /// How answers are repeated, or `None` if they are not.
+    pub repetition: Option<Repetition>,
     /// Whether the machine is cut off from the network.
     pub unreachable: bool,
     /// Whether the process is down, so that connections are refused.
--- a/crates/micadrum-testkit/src/world/destination_model/mod.rs
+++ b/crates/micadrum-testkit/src/world/destination_model/mod.rs
@@ -106,7 +106,8 @@
     }
 
     fn rejected(&self, retry_after: Option<Micros>) -> CallOutcome {
-        CallOutcome { retry_after, ..self.without_effect(AttemptResult::Overloaded) }
+        let answer_at = self.received_at + self.condition.rejection_latency;
+        CallOutcome { answer_at, retry_after, ..self.without_effect(AttemptResult::Overloaded) }
     }
 }
 
--- a/crates/micadrum-testkit/src/world/endpoints/call.rs
+++ b/crates/micadrum-testkit/src/world/endpoints/call.rs
@@ -3,6 +3,7 @@
 use crate::http::{HttpConnection, Message, answer};
 use crate::observation::{AttemptResult, Micros, Observation};
 use crate::plan::Class;
+use crate::scenario::RepeatTrigger;
 use crate::world::destination_model::{CallMessage, CallOutcome, Collapse, Delivery, IncomingCall};
 use crate::world::messages::MessageOutcome;
 use crate::world::{EndpointIdentity, EndpointState, World};
@@ -171,7 +172,11 @@
             }
         }
         let bytes = self.answer_bytes(world)?;
-        http.write(&bytes).await.ok()?;
+        http.write_answer(bytes).await.ok()?;
+        let repetition = world.endpoints.borrow()[self.endpoint].condition.repetition;
+        if self.outcome.delivery == Delivery::Complete {
+            world.repeat_answer(&mut http, repetition, RepeatTrigger::Answer);
+        }
         if retry_after.is_some() {
             self.watch_delivery(world, &http, received_at).await;
         }
--- a/crates/micadrum-testkit/src/world/endpoints/mod.rs
+++ b/crates/micadrum-testkit/src/world/endpoints/mod.rs
@@ -4,6 +4,7 @@
 
 use super::{EndpointState, World};
 use crate::http::{HttpConnection, answer};
+use crate::scenario::RepeatTrigger;
 use crate::test_network::TestListener;
 use call::Call;
 use std::io;
@@ -142,6 +143,8 @@
                 next = timeout(Duration::from_micros(IDLE_TIMEOUT_US), http.read(false)) => next,
             };
             let Ok(Ok(Some(message))) = next else { return };
+            let repetition = self.world.endpoints.borrow()[self.endpoint].condition.repetition;
+            self.world.repeat_answer(&mut http, repetition, RepeatTrigger::NextRequest);
             let Some(call) = Call::read(&self.world, self.endpoint, self.sender, &message) else {
                 let _ = http.write(&answer("400 Bad Request", "", "")).await;
                 return;
--- a/crates/micadrum-testkit/src/world/faults/discovery_faults.rs
+++ b/crates/micadrum-testkit/src/world/faults/discovery_faults.rs
@@ -2,6 +2,7 @@
 //! and unacknowledged notifications.
 use crate::observation::{Micros, Observation};
 use crate::plan::{PlannedFault, SeededRng};
+use crate::world::repeated_answers::Repetition;
 use crate::world::{NonexistentEndpoint, World, platform};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -29,6 +30,18 @@
     end.set(end.get().max(until));
 }
 
+/// Makes the agents of senders repeat answers until `until`.
+pub(super) async fn repeat_answers(world: &World, fault: &PlannedFault, until: Micros) {
+    let set = |repetition: Option<Repetition>| {
+        for sender in &fault.senders {
+            world.agents[*sender as usize].repetition.set(repetition);
+        }
+    };
+    set(Some(Repetition::of(fault)));
+    world.wait_until(until).await;
+    set(None);
+}
+
 /// Delays the publication of endpoint lists until `until`.
 pub(super) async fn lag(world: &World, fault: &PlannedFault, until: Micros) {
     let lag = Duration::from_micros(fault.delay.0);
--- a/crates/micadrum-testkit/src/world/faults/endpoint_faults.rs
+++ b/crates/micadrum-testkit/src/world/faults/endpoint_faults.rs
@@ -4,6 +4,7 @@
 use crate::plan::{PlannedFault, SeededRng};
 use crate::scenario::FaultKind;
 use crate::world::destination_model::{Condition, Stall};
+use crate::world::repeated_answers::Repetition;
 use crate::world::{EndpointIdentity, EndpointState, World, endpoints, platform};
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,9 +35,11 @@
         }
         FaultKind::Shut => condition.unavailable_until = Some(started_at + fault.until.0),
         FaultKind::Full => condition.rejected_share = fault.call_share,
+        FaultKind::LateRejections => condition.rejection_latency = fault.delay.0,
         FaultKind::Errors => condition.error_share = fault.call_share,
         FaultKind::Spoil => condition.corrupted_share = fault.call_share,
         FaultKind::Reset => condition.reset_share = fault.call_share,
+        FaultKind::RepeatAnswers => condition.repetition = Some(Repetition::of(fault)),
         FaultKind::Vanish => condition.unreachable = true,
         FaultKind::Die => condition.process_down = true,
         _ => {}
@@ -51,9 +54,11 @@
         FaultKind::Stall => condition.stall = healthy.stall,
         FaultKind::Shut => condition.unavailable_until = healthy.unavailable_until,
         FaultKind::Full => condition.rejected_share = healthy.rejected_share,
+        FaultKind::LateRejections => condition.rejection_latency = healthy.rejection_latency,
         FaultKind::Errors => condition.error_share = healthy.error_share,
         FaultKind::Spoil => condition.corrupted_share = healthy.corrupted_share,
         FaultKind::Reset => condition.reset_share = healthy.reset_share,
+        FaultKind::RepeatAnswers => condition.repetition = healthy.repetition,
         FaultKind::Vanish => condition.unreachable = healthy.unreachable,
         FaultKind::Die => condition.process_down = healthy.process_down,
         _ => {}
--- a/crates/micadrum-testkit/src/world/faults/mod.rs
+++ b/crates/micadrum-testkit/src/world/faults/mod.rs
@@ -40,6 +40,7 @@
         FaultKind::SystemCalls | FaultKind::Folder => sender_faults::system_calls(world, fault, until).await,
         FaultKind::WallClock => sender_faults::step_wall_clocks(world, fault),
         FaultKind::Pause => sender_faults::pause(world, fault, until).await,
+        FaultKind::RepeatAgentAnswers => discovery_faults::repeat_answers(world, fault, until).await,
         FaultKind::Deaf => discovery_faults::ignore_notifications(world, fault, until),
         FaultKind::ListSilent => discovery_faults::silence(world, fault, until),
         FaultKind::ListLag => discovery_faults::lag(world, fault, until).await,
@@ -57,9 +58,11 @@
         | FaultKind::Stall
         | FaultKind::Shut
         | FaultKind::Full
+        | FaultKind::LateRejections
         | FaultKind::Errors
         | FaultKind::Spoil
         | FaultKind::Reset
+        | FaultKind::RepeatAnswers
         | FaultKind::Vanish
         | FaultKind::Die => endpoint_faults::degrade(world, fault, started_at).await,
     }
--- a/crates/micadrum-testkit/src/world/mod.rs
+++ b/crates/micadrum-testkit/src/world/mod.rs
@@ -6,13 +6,14 @@
 pub mod faults;
 pub mod messages;
 pub mod platform;
+pub mod repeated_answers;
 mod sender_config;
 pub mod senders;
 
 use crate::history::{History, HistoryEvent};
 use crate::link_faults::LinkFaults;
 use crate::observation::{Micros, Observation};
-use crate::plan::{Class, Plan};
+use crate::plan::{Class, Plan, SeededRng};
 use crate::service_metrics::Recorder;
 use crate::test_network::{Host, TestNetwork};
 use destination_model::{Condition, DestinationModel};
@@ -99,6 +100,8 @@
     /// The time at which discovery will have served all queued requests.
     discovery_idle_at: Cell<Micros>,
     next_call: Cell<u64>,
+    repeated_answers: Cell<u64>,
+    repetition_random: RefCell<SeededRng>,
     next_route: Cell<u32>,
 }
 
@@ -139,6 +142,8 @@
             list_lag: Cell::default(),
             discovery_idle_at: Cell::default(),
             next_call: Cell::new(0),
+            repeated_answers: Cell::default(),
+            repetition_random: RefCell::new(SeededRng::new(plan.seed, "repeated answers")),
             next_route: Cell::new(route_count),
             plan,
         });
--- a/crates/micadrum-testkit/src/world/platform/agent.rs
+++ b/crates/micadrum-testkit/src/world/platform/agent.rs
@@ -2,6 +2,7 @@
 use crate::observation::{Micros, Observation};
 use crate::test_network::{Host, TestListener, TestNetwork};
 use crate::world::World;
+use crate::world::repeated_answers::Repetition;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -72,6 +73,8 @@
     serving: RefCell<BTreeSet<String>>,
     /// The time until which the agent answers no discovery request.
     pub(in crate::world) silent_until: Cell<Micros>,
+    /// How the agent repeats its answers, or `None` if it does not.
+    pub(in crate::world) repetition: Cell<Option<Repetition>>,
     /// The time until which the agent acknowledges no notification.
     pub(in crate::world) notifications_ignored_until: Cell<Micros>,
 }
@@ -96,6 +99,7 @@
             informed_since: RefCell::default(),
             serving: RefCell::default(),
             silent_until: Cell::default(),
+            repetition: Cell::default(),
             notifications_ignored_until: Cell::default(),
         })
     }
--- a/crates/micadrum-testkit/src/world/platform/mod.rs
+++ b/crates/micadrum-testkit/src/world/platform/mod.rs
@@ -9,7 +9,7 @@
 use crate::http::{HttpConnection, Message, answer};
 use crate::observation::{Micros, Observation};
 use crate::plan::{MAX_POLL_INTERVAL, SeededRng};
-use crate::scenario::Discovery;
+use crate::scenario::{Discovery, RepeatTrigger};
 use crate::test_network::{Host, TestConnection};
 use agent::{AGENT_PORT, record_delivered_list};
 use serde::Deserialize;
@@ -142,12 +142,14 @@
     let agent = &world.agents[sender as usize];
     let mut http = HttpConnection::new(connection);
     while let Ok(Some(message)) = http.read(false).await {
+        world.repeat_answer(&mut http, agent.repetition.get(), RepeatTrigger::NextRequest);
         let answer = answer_request(&world, sender, &message).await;
         let is_current = agent.address_generation.get() == generation;
         let Some(text) = answer.filter(|_| is_current) else { return };
-        if http.write(&text).await.is_err() {
+        if http.write_answer(text).await.is_err() {
             return;
         }
+        world.repeat_answer(&mut http, agent.repetition.get(), RepeatTrigger::Answer);
     }
 }
 
