Count an answer on a used connection only if it belongs to the call in progress

Cause: HTTP/1.1 matches answers by order alone. The connection was returned to the pool as soon as an answer was read; a second copy that arrived after the next request was written became the answer of that call, and each later answer that of the call before. Only copies that came before the request was written were noticed.

Change, answer_trust.rs (no I/O, no clock): the first answer on a connection is certain. On a used one, an answer much faster than any known one counts only if none follows within 2 s; where answers are too fast for that, a connection has to be quiet for up to 15 ms; after anything that no call asked for, connections carry one call each for 15 minutes and answers on used ones leave the call as one that may have run. An answer before the end of its request never counts. The Retry-After of an unsolicited or doubtful answer applies at once. A call that waits asks again whether it may be sent.

--- a/crates/micadrum-testkit/tests/soak.rs
+++ b/crates/micadrum-testkit/tests/soak.rs
@@ -3,21 +3,15 @@
 mod common;
 
 use micadrum_testkit::plan::Plan;
-use micadrum_testkit::soak;
+use micadrum_testkit::soak::{self, SoakSummary};
+use std::ops::RangeInclusive;
 
-/// Guards against violations in real processes when several rare faults coincide.
-#[test]
-fn a_short_soak_has_no_violations() {
-    let daemon =
-        std::env::current_exe().unwrap().parent().and_then(|deps| deps.parent()).unwrap().join("micadrum");
-    assert!(
-        daemon.exists(),
-        "{} does not exist: run the tests of the whole workspace, which build it",
-        daemon.display()
-    );
+/// Runs all seeds, prints those that fail, and returns the summary.
+fn soak(seeds: RangeInclusive<u64>, add_faults: fn(&mut Plan)) -> SoakSummary {
+    let daemon = common::daemon();
     let plan = |seed| {
         let mut plan = Plan::new(common::scenario("8 s", ""), seed);
-        plan.add_system_faults();
+        add_faults(&mut plan);
         plan
     };
     let print = |run: &soak::SoakRun| {
@@ -26,7 +20,24 @@
             println!("{}", report.text());
         }
     };
-    let summary = soak::run(21..=24, 4, Some(&daemon), &plan, &print);
+    soak::run(seeds, 4, Some(&daemon), &plan, &print)
+}
+
+/// Guards against violations in real processes when several rare faults coincide.
+#[test]
+fn a_short_soak_has_no_violations() {
+    let summary = soak(21..=24, Plan::add_system_faults);
     assert_eq!(summary.failing, [0; 0]);
     assert!(summary.injected.values().sum::<u64>() > 100, "{:?}", summary.injected);
 }
+
+/// Guards against the same when endpoints and agents also answer more than once.
+#[test]
+fn a_short_soak_with_repeated_answers_has_no_violations() {
+    let summary = soak(31..=34, |plan| {
+        plan.add_system_faults();
+        plan.add_answer_faults();
+    });
+    assert_eq!(summary.failing, [0; 0]);
+    assert!(summary.injected["repeated-answer"] > 20, "{:?}", summary.injected);
+}
--- a/src/daemon/connection/mod.rs
+++ b/src/daemon/connection/mod.rs
@@ -78,11 +78,12 @@
         address: SocketAddr,
         connect_timeout: Duration,
     ) -> Result<Self, CallError> {
-        Self::open_watched(network, address, connect_timeout, || {}).await
+        Self::open_watched(network, address, connect_timeout, |_| {}).await
     }
 
     /// Opens a connection to `address`. Calls `on_unsolicited` if the peer sends something while no request
-    /// is in progress; the connection is closed then.
+    /// is in progress; the connection is closed then. The argument is the beginning of what was sent after
+    /// the call of [`Self::end_exchange`], if it was called.
     ///
     /// # Errors
     /// Returns an error if connecting fails or takes longer than `connect_timeout`.
@@ -90,7 +91,7 @@
         network: &dyn Network,
         address: SocketAddr,
         connect_timeout: Duration,
-        on_unsolicited: impl FnOnce() + 'static,
+        on_unsolicited: impl FnOnce(&[u8]) + 'static,
     ) -> Result<Self, CallError> {
         let stream = match timeout(connect_timeout, network.connect(address)).await {
             Ok(stream) => stream.map_err(CallError::Connect)?,
@@ -102,9 +103,11 @@
         let handshake = builder.max_buf_size(MAX_RESPONSE_BYTES).handshake(io);
         let (requests, connection) = handshake.await.map_err(CallError::IncompleteRequest)?;
         // An error of the connection is reported by the call on it, or by `is_alive`.
+        let driven = exchange.clone();
         let drive = async move {
             if connection.await.is_err_and(|error| is_unsolicited_input(&error)) {
-                on_unsolicited();
+                let unsolicited = std::mem::take(&mut driven.lock().unsolicited);
+                on_unsolicited(&unsolicited);
             }
         };
         let driver = spawn_local(drive).abort_handle();
@@ -133,6 +136,7 @@
             status_line: StatusLine::default(),
             status_line_arrived: status_line_arrived.clone(),
             counter,
+            ..Exchange::default()
         };
         let head_timeout = async move {
             status_line_arrived.notified().await;
@@ -154,6 +158,18 @@
         })
     }
 
+    /// Records that the response was read completely. What arrives from now on is not a part of it.
+    pub fn end_exchange(&self) {
+        self.exchange.lock().is_over = true;
+    }
+
+    /// Returns the time from the last byte of the last request to its response; `None` if either has not
+    /// occurred, or the response came first.
+    pub fn response_delay(&self) -> Option<Duration> {
+        let exchange = self.exchange.lock();
+        exchange.answered_at?.checked_duration_since(exchange.written_at?)
+    }
+
     /// Returns whether the last byte of the last request was written.
     pub fn is_request_written(&self) -> bool {
         self.exchange.lock().request.is_complete()
--- a/src/daemon/connection/observed_stream.rs
+++ b/src/daemon/connection/observed_stream.rs
@@ -9,6 +9,10 @@
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Upper bound on what is kept of bytes that arrive after a response.
+const MAX_UNSOLICITED_BYTES: usize = 4096;
 
 /// Counts the messages of a request once its last byte is written.
 pub struct WrittenCounter {
@@ -27,6 +31,14 @@
     pub status_line_arrived: Arc<Notify>,
     /// Taken when the last byte of the request has been written.
     pub counter: Option<WrittenCounter>,
+    /// When the last byte of the request was written.
+    pub written_at: Option<Instant>,
+    /// When the status line arrived, or invalid bytes in its place.
+    pub answered_at: Option<Instant>,
+    /// Whether the response was read completely.
+    pub is_over: bool,
+    /// The beginning of what arrived after the response.
+    pub unsolicited: Vec<u8>,
 }
 
 /// An exchange that is shared between a connection and its stream.
@@ -61,10 +73,15 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let received = &buf.filled()[before..];
         let mut exchange = self.exchange.lock();
-        if !exchange.status_line.has_arrived() {
-            exchange.status_line.receive(&buf.filled()[before..]);
+        if exchange.is_over {
+            let space = MAX_UNSOLICITED_BYTES.saturating_sub(exchange.unsolicited.len());
+            exchange.unsolicited.extend_from_slice(&received[..received.len().min(space)]);
+        } else if !exchange.status_line.has_arrived() {
+            exchange.status_line.receive(received);
             if exchange.status_line.has_arrived() {
+                exchange.answered_at = Some(Instant::now());
                 exchange.status_line_arrived.notify_one();
             }
         }
@@ -82,6 +99,9 @@
         let count = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
         let mut exchange = self.exchange.lock();
         exchange.request.count(&buf[..count]);
+        if exchange.request.is_complete() && exchange.written_at.is_none() {
+            exchange.written_at = Some(Instant::now());
+        }
         if exchange.request.is_complete()
             && let Some(counter) = exchange.counter.take()
         {
--- a/src/daemon/connection/tests.rs
+++ b/src/daemon/connection/tests.rs
@@ -91,7 +91,7 @@
             let calls = async {
                 let limit = Duration::from_secs(20);
                 let mut connection =
-                    Connection::open_watched(&Tcp, address, limit, move || notice.notify_one())
+                    Connection::open_watched(&Tcp, address, limit, move |_| notice.notify_one())
                         .await
                         .unwrap();
                 let first = connection.send(post(address), Bytes::new(), None).await;
@@ -119,7 +119,7 @@
         };
         let limit = Duration::from_secs(20);
         let calls = async {
-            let report = || panic!("a close was reported as input");
+            let report = |_: &[u8]| panic!("a close was reported as input");
             let mut connection = Connection::open_watched(&Tcp, address, limit, report).await.unwrap();
             let first = connection.send(post(address), Bytes::new(), None).await;
             assert!(first.unwrap().into_body().collect().await.is_ok());
--- a/src/daemon/connection_pool.rs
+++ b/src/daemon/connection_pool.rs
@@ -36,14 +36,29 @@
     target: Target,
 }
 
-/// Idle connections by endpoint and address. The most recently used connection is reused first.
+struct IdleConnection<C> {
+    number: u64,
+    usable_at: Instant,
+    connection: C,
+}
+
+/// An idle connection that was taken out of the pool.
+pub struct TakenConnection<C> {
+    /// The connection.
+    pub connection: C,
+    /// When it has been quiet for long enough to carry the next call.
+    pub usable_at: Instant,
+}
+
+/// Idle connections by endpoint and address. Of those that are usable, the most recently used one is reused
+/// first; if none is, the one that has been idle for longest.
 ///
 /// An endpoint whose address has changed does not reuse its old connections, nor does an endpoint reuse those
 /// of another that had the same address before. All connections have the same idle timeout, so they expire in
 /// the order in which they were added, and no operation scans the whole pool.
 pub struct ConnectionPool<C> {
-    /// The sequence numbers and connections of each target, oldest first.
-    idle: BTreeMap<Target, VecDeque<(u64, C)>>,
+    /// The connections of each target, oldest first.
+    idle: BTreeMap<Target, VecDeque<IdleConnection<C>>>,
     by_age: BTreeMap<u64, IdleSince>,
     next_number: u64,
     idle_timeout: Duration,
@@ -71,19 +86,27 @@
         self.idle_timeout = server_idle_timeout * 4 / 5;
     }
 
-    /// Removes and returns the most recently used connection to the endpoint at the address, or `None` if all
-    /// have expired or are closed.
-    pub fn take(&mut self, endpoint: EndpointId, address: SocketAddr, now: Instant) -> Option<C> {
+    /// Removes and returns a connection to the endpoint at the address, or `None` if all have expired or are
+    /// closed.
+    pub fn take(
+        &mut self,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        now: Instant,
+    ) -> Option<TakenConnection<C>> {
         self.close_expired(now);
         let idle = self.idle.get_mut(&(endpoint, address))?;
         let mut taken = None;
-        while let Some((number, connection)) = idle.pop_back() {
+        while !idle.is_empty() {
+            let usable = (0..idle.len()).rev().find(|position| idle[*position].usable_at <= now);
+            let Some(taken_out) = idle.remove(usable.unwrap_or(0)) else { break };
+            let IdleConnection { number, usable_at, connection } = taken_out;
             self.by_age.remove(&number);
             if connection.is_closed() {
                 connection.close(CloseReason::ClosedByEndpoint);
                 continue;
             }
-            taken = Some(connection);
+            taken = Some(TakenConnection { connection, usable_at });
             break;
         }
         if idle.is_empty() {
@@ -92,8 +115,16 @@
         taken
     }
 
-    /// Adds an idle connection. If the pool is full, closes its oldest connection.
-    pub fn put(&mut self, endpoint: EndpointId, address: SocketAddr, connection: C, now: Instant) {
+    /// Adds a connection that is idle since `now`, and usable after `quiet_period`. If the pool is full, closes
+    /// its oldest connection.
+    pub fn put(
+        &mut self,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        connection: C,
+        now: Instant,
+        quiet_period: Duration,
+    ) {
         self.close_expired(now);
         if self.max_connections == 0 {
             connection.close(CloseReason::PoolFull);
@@ -103,7 +134,8 @@
             self.close_oldest(CloseReason::PoolFull);
         }
         let target = (endpoint, address);
-        self.idle.entry(target).or_default().push_back((self.next_number, connection));
+        let idle = IdleConnection { number: self.next_number, usable_at: now + quiet_period, connection };
+        self.idle.entry(target).or_default().push_back(idle);
         self.by_age.insert(self.next_number, IdleSince { since: now, target });
         self.next_number += 1;
     }
@@ -116,15 +148,23 @@
                 return;
             }
             let target = *target;
-            for (number, _) in idle {
-                self.by_age.remove(number);
+            for connection in idle {
+                self.by_age.remove(&connection.number);
             }
-            for (_, connection) in self.idle.remove(&target).into_iter().flatten() {
-                connection.close(CloseReason::EndpointOutOfService);
+            for idle in self.idle.remove(&target).into_iter().flatten() {
+                idle.connection.close(CloseReason::EndpointOutOfService);
             }
         }
     }
 
+    /// Closes all idle connections.
+    pub fn close_all(&mut self, reason: CloseReason) {
+        self.by_age.clear();
+        for idle in std::mem::take(&mut self.idle).into_values().flatten() {
+            idle.connection.close(reason);
+        }
+    }
+
     /// Closes connections that have reached the idle timeout.
     fn close_expired(&mut self, now: Instant) {
         while let Some((_, oldest)) = self.by_age.first_key_value()
@@ -137,8 +177,8 @@
     fn close_oldest(&mut self, reason: CloseReason) {
         let Some((_, IdleSince { target, .. })) = self.by_age.pop_first() else { return };
         let Some(idle) = self.idle.get_mut(&target) else { return };
-        if let Some((_, connection)) = idle.pop_front() {
-            connection.close(reason);
+        if let Some(oldest) = idle.pop_front() {
+            oldest.connection.close(reason);
         }
         if idle.is_empty() {
             self.idle.remove(&target);
--- a/src/daemon/event_loop/calls.rs
+++ b/src/daemon/event_loop/calls.rs
@@ -3,7 +3,7 @@
 use super::durable_effects::DeferredEffect;
 use crate::daemon::connection_pool::ConnectionPool;
 use crate::daemon::endpoint_connection::EndpointConnection;
-use crate::daemon::events::{AttemptOutcome, CallCompletion, LoopEvent};
+use crate::daemon::events::{AttemptOutcome, CallCompletion, LoopEvent, UnsolicitedResponse};
 use crate::daemon::journal::{Attempt, AttemptEffect, FinalOutcome, JournalError, SubmittedMessage};
 use crate::daemon::notifications::Notification;
 use crate::daemon::outbound_call::{BatchedMessage, Call, CallContext};
@@ -58,7 +58,9 @@
     /// Spawns a task that performs a call, on an idle connection if there is one.
     fn spawn(&mut self, call: Call, tasks: &mut JoinSet<()>) {
         let (endpoint, address) = (call.endpoint, call.address);
-        let idle = self.pool.take(endpoint, address, Instant::now());
+        let now = Instant::now();
+        let may_reuse = self.context.trust.borrow().permits_reuse(now);
+        let idle = if may_reuse { self.pool.take(endpoint, address, now) } else { None };
         let context = self.context.clone();
         tasks.spawn_local(async move {
             if let Some(connection) = call.run(idle, &context).await {
@@ -129,7 +131,14 @@
         self.calls.spawn(call, &mut self.tasks);
     }
 
-    /// Tells a call that has opened a connection whether its messages may still be sent.
+    /// Traces that a call has opened a connection.
+    pub(super) fn trace_connected(&self, endpoint: EndpointId) {
+        if let Some(tracked) = self.endpoints.get(endpoint) {
+            self.trace.connected(self.clock.now(), tracked.listed.destination, &tracked.listed.id);
+        }
+    }
+
+    /// Tells a call that had to wait whether its messages may still be sent.
     pub(super) fn confirm_call(
         &mut self,
         endpoint: EndpointId,
@@ -137,34 +146,51 @@
         is_allowed: oneshot::Sender<bool>,
     ) {
         let now = self.clock.now();
-        if let Some(tracked) = self.endpoints.get(endpoint) {
-            self.trace.connected(now, tracked.listed.destination, &tracked.listed.id);
-        }
         let may_send = |number: &u32| self.engine.is_call_still_allowed(now, MessageId(*number), endpoint);
         let _ = is_allowed.send(messages.iter().all(may_send));
     }
 
-    /// Adds an idle connection to the pool, unless its endpoint is draining, removed, or has another address.
+    /// Adds an idle connection to the pool, unless its endpoint is draining, removed, or has another address, or
+    /// connections are used for one call each.
     pub(super) fn pool_connection(
         &mut self,
         endpoint: EndpointId,
         address: SocketAddr,
         connection: EndpointConnection,
     ) {
-        let tracked = self.endpoints.get(endpoint);
-        if tracked.is_some_and(|tracked| tracked.is_serving && tracked.listed.address == address) {
-            self.calls.pool.put(endpoint, address, connection, Instant::now());
-        } else {
+        let (now, tracked) = (Instant::now(), self.endpoints.get(endpoint));
+        if !tracked.is_some_and(|tracked| tracked.is_serving && tracked.listed.address == address) {
             connection.close(CloseReason::EndpointOutOfService);
+        } else if !self.calls.context.trust.borrow().permits_reuse(now) {
+            connection.close(CloseReason::ReuseSuspended);
+        } else {
+            let quiet_period = self.calls.context.trust.borrow().quiet_period();
+            self.calls.pool.put(endpoint, address, connection, now, quiet_period);
         }
     }
 
-    /// Logs that an endpoint has sent something while no request was in progress on the connection.
-    pub(super) fn record_unsolicited_response(&mut self, endpoint: EndpointId) {
+    /// Handles something that an endpoint sent while no request was in progress on the connection. Its
+    /// Retry-After applies, as it may answer a call that got the answer to another one.
+    pub(super) fn record_unsolicited_response(&mut self, unsolicited: UnsolicitedResponse) {
+        let UnsolicitedResponse { endpoint, received_at, retry_after, suspends_reuse } = unsolicited;
         let id = self.endpoints.get(endpoint).map_or("unknown", |tracked| &tracked.listed.id).to_owned();
+        if suspends_reuse {
+            self.calls.pool.close_all(CloseReason::ReuseSuspended);
+            self.log(format_args!(
+                "calls: unsolicited response, connections are used for one call each endpoint={id}"
+            ));
+        }
         self.log_rate_limited(format_args!(
             "calls: unsolicited response on an idle connection, connection closed endpoint={id}"
         ));
+        if let Some(wait) = retry_after {
+            self.apply_retry_after(endpoint, wait, received_at);
+        }
+    }
+
+    /// Queues a Retry-After that was received at `received_at`.
+    pub(super) fn apply_retry_after(&mut self, endpoint: EndpointId, wait: TimeDelta, received_at: Instant) {
+        self.queue.push(self.clock.timestamp(received_at), Event::RetryAfter { endpoint, wait });
     }
 
     /// Processes the completion of a call.
--- a/src/daemon/event_loop/construction.rs
+++ b/src/daemon/event_loop/construction.rs
@@ -29,6 +29,7 @@
 use crate::daemon::watch_cell::WatchCell;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use tokio::sync::Semaphore;
@@ -104,6 +105,7 @@
             written_messages: Arc::new(AtomicU64::new(metrics.backend_calls)),
             unread_responses: Arc::new(Semaphore::new(budget.unread_responses)),
             events: events.clone(),
+            trust: Rc::default(),
             trace: RequestTrace::new(ports.traces.requests, ports.log.clone()),
         };
         let pool = ConnectionPool::new(idle_timeout(profile), budget.idle_connections);
--- a/src/daemon/event_loop/mod.rs
+++ b/src/daemon/event_loop/mod.rs
@@ -197,13 +197,17 @@
                 self.respond(reply, response);
             }
             LoopEvent::CallCompleted(completion) => self.complete_call(completion),
-            LoopEvent::Connected { endpoint, messages, is_allowed } => {
+            LoopEvent::Connected(endpoint) => self.trace_connected(endpoint),
+            LoopEvent::ConfirmCall { endpoint, messages, is_allowed } => {
                 self.confirm_call(endpoint, &messages, is_allowed);
             }
             LoopEvent::ConnectionIdle { endpoint, address, connection } => {
                 self.pool_connection(endpoint, address, connection);
             }
-            LoopEvent::UnsolicitedResponse(endpoint) => self.record_unsolicited_response(endpoint),
+            LoopEvent::RetryAfter { endpoint, wait, received_at } => {
+                self.apply_retry_after(endpoint, wait, received_at);
+            }
+            LoopEvent::UnsolicitedResponse(unsolicited) => self.record_unsolicited_response(unsolicited),
             LoopEvent::EndpointList(list) => self.apply_endpoint_list(list),
             LoopEvent::NotificationsAcknowledged(messages) => self.acknowledge(messages),
             LoopEvent::Shutdown(requested_at) => self.begin_shutdown(requested_at),
--- a/src/daemon/event_loop/shutdown.rs
+++ b/src/daemon/event_loop/shutdown.rs
@@ -162,6 +162,7 @@
         while let Ok(event) = events.try_recv() {
             match event {
                 LoopEvent::CallCompleted(_)
+                | LoopEvent::RetryAfter { .. }
                 | LoopEvent::UnsolicitedResponse(_)
                 | LoopEvent::NotificationsAcknowledged(_)
                 | LoopEvent::EndpointList(_) => self.handle(event),
@@ -170,7 +171,8 @@
                 | LoopEvent::ReloadIfChanged(_)
                 | LoopEvent::Admin(_) => requests.push(event),
                 LoopEvent::Submit { .. }
-                | LoopEvent::Connected { .. }
+                | LoopEvent::Connected(_)
+                | LoopEvent::ConfirmCall { .. }
                 | LoopEvent::ConnectionIdle { .. }
                 | LoopEvent::Successor(_) => {}
                 // The event loop no longer uses the synced file.
--- a/src/daemon/events.rs
+++ b/src/daemon/events.rs
@@ -58,8 +58,10 @@
     },
     /// A call has ended.
     CallCompleted(CallCompletion),
-    /// A call has opened a connection, and asks whether its messages may still be sent.
-    Connected {
+    /// A call has opened a connection to an endpoint.
+    Connected(EndpointId),
+    /// A call had to wait, and asks whether its messages may still be sent.
+    ConfirmCall {
         /// The endpoint of the call.
         endpoint: EndpointId,
         /// The numbers of the call's messages.
@@ -76,8 +78,17 @@
         /// The idle connection, for reuse.
         connection: EndpointConnection,
     },
+    /// A response has arrived whose outcomes are not known yet, with a Retry-After.
+    RetryAfter {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The Retry-After.
+        wait: TimeDelta,
+        /// When the response arrived.
+        received_at: Instant,
+    },
     /// An endpoint has sent something on a connection on which no request was in progress.
-    UnsolicitedResponse(EndpointId),
+    UnsolicitedResponse(UnsolicitedResponse),
     /// The discovery agent has sent an endpoint list, or changes to one.
     EndpointList(EndpointList),
     /// The platform has acknowledged the notifications of these messages.
@@ -155,6 +166,19 @@
     pub report: Option<LoadReport>,
 }
 
+/// Something that an endpoint sent on a connection on which no request was in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnsolicitedResponse {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// When it was received.
+    pub received_at: Instant,
+    /// The Retry-After, if it is a response with one.
+    pub retry_after: Option<TimeDelta>,
+    /// Whether connections are used for one call each because of it, and were not before.
+    pub suspends_reuse: bool,
+}
+
 /// The outcome of one message in a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptOutcome {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 //! It accesses the machine only through [`ports`].
 mod accept_failure;
 mod admin_server;
+mod answer_trust;
 mod checkpoint;
 mod class_registry;
 mod client_listener;
--- a/src/daemon/outbound_call/mod.rs
+++ b/src/daemon/outbound_call/mod.rs
@@ -2,9 +2,11 @@
 mod batch;
 mod response;
 
+use super::answer_trust::{AnswerTrust, Attribution, CONFIRMATION_PERIOD, ReceivedAnswer};
 use super::connection::{CallError, Connection, WrittenCounter, request};
+use super::connection_pool::TakenConnection;
 use super::endpoint_connection::EndpointConnection;
-use super::events::{AttemptOutcome, CallCompletion, LoopEvent};
+use super::events::{AttemptOutcome, CallCompletion, LoopEvent, UnsolicitedResponse};
 use super::local_failure::is_local;
 use super::ports::{Log, Ports};
 use super::request_trace::{CloseReason, RequestTrace, TracedMessage};
@@ -14,17 +16,21 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::http::request::Builder;
+use hyper::http::response::Parts;
 use hyper::{Method, Response, StatusCode};
 pub use response::ReportFields;
+use response::UnsolicitedHead;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Semaphore, oneshot};
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// How often a call yields to other tasks after its timeout, so that they read data that has already arrived.
 const TIMEOUT_YIELDS: usize = 3;
@@ -72,6 +78,8 @@
     pub written_messages: Arc<AtomicU64>,
     /// Permits to read the rest of a response after the outcome of its call is known.
     pub unread_responses: Arc<Semaphore>,
+    /// What is known about the attribution of answers, shared by all calls.
+    pub trust: Rc<RefCell<AnswerTrust>>,
     /// The trace of requests, connections and refusals.
     pub trace: RequestTrace,
     /// The channel to the event loop.
@@ -82,6 +90,7 @@
 struct OpenResponse {
     connection: EndpointConnection,
     response: Response<Incoming>,
+    received_at: Instant,
 }
 
 /// An exchange without a valid response head. Its connection is closed.
@@ -96,7 +105,7 @@
     /// as they are known, and returns the connection if it can be reused.
     pub async fn run(
         self,
-        idle: Option<EndpointConnection>,
+        idle: Option<TakenConnection<EndpointConnection>>,
         context: &CallContext,
     ) -> Option<EndpointConnection> {
         let open = match self.open(idle, context).await {
@@ -111,21 +120,84 @@
                 return None;
             }
         };
-        self.finish(open, context).await
+        let answer = self.received_answer(&open.connection);
+        let attribution = context.trust.borrow().attribute(&answer, Instant::now());
+        match attribution {
+            Attribution::Certain => {
+                context.trust.borrow_mut().record_attributed(&answer);
+                self.finish(open, context).await
+            }
+            Attribution::Doubtful => self.confirm(open, answer, context).await,
+            Attribution::Unknown => {
+                self.abandon(open, context);
+                None
+            }
+        }
+    }
+
+    fn received_answer(&self, connection: &EndpointConnection) -> ReceivedAnswer {
+        ReceivedAnswer {
+            is_first_on_connection: connection.trace.is_first_request(),
+            delay: connection.connection.response_delay(),
+        }
+    }
+
+    /// Reports the outcomes of a doubtful response once no other one has followed it, and closes the
+    /// connection.
+    async fn confirm(
+        &self,
+        open: OpenResponse,
+        answer: ReceivedAnswer,
+        context: &CallContext,
+    ) -> Option<EndpointConnection> {
+        let OpenResponse { connection, response, received_at } = open;
+        let (head, body) = response.into_parts();
+        if let Some(wait) = response::retry_after(&head.headers) {
+            let endpoint = self.endpoint;
+            let _ = context.events.send(LoopEvent::RetryAfter { endpoint, wait, received_at });
+        }
+        let body = timeout_at(self.expires, response::complete_body(body)).await.ok().flatten();
+        connection.connection.end_exchange();
+        let until = self.expires.min(received_at + CONFIRMATION_PERIOD);
+        let is_followed = connection.receives_unsolicited(until).await;
+        if !is_followed {
+            context.trust.borrow_mut().record_attributed(&answer);
+        }
+        let is_success = head.status == StatusCode::OK && self.messages.len() == 1;
+        let outcomes = match &body {
+            _ if is_followed => self.same_outcome_for_all(Outcome::Reset, false),
+            _ if is_success => self.same_outcome_for_all(Outcome::Success, true),
+            Some(body) => self.outcomes(&head, body, context),
+            None => self.same_outcome_for_all(Outcome::Failure, false),
+        };
+        self.report(&connection, outcomes, &head, received_at, context);
+        if is_followed {
+            connection.close(CloseReason::UnattributedResponse);
+            return None;
+        }
+        self.reusable(connection, body.is_some())
+    }
+
+    /// Gives up a call whose response may belong to another call.
+    fn abandon(&self, open: OpenResponse, context: &CallContext) {
+        let OpenResponse { connection, response, received_at } = open;
+        let is_written = connection.connection.is_request_written();
+        // The connection is closed before the rest of an incomplete request is written.
+        let outcome = if is_written { Outcome::Reset } else { Outcome::ConnectFailed };
+        let (head, _) = response.into_parts();
+        self.report(&connection, self.same_outcome_for_all(outcome, false), &head, received_at, context);
+        connection.close(CloseReason::UnattributedResponse);
     }
 
     /// Reads the response and reports the outcomes. Returns the connection if it can carry another call.
     async fn finish(&self, open: OpenResponse, context: &CallContext) -> Option<EndpointConnection> {
-        let OpenResponse { connection, response } = open;
+        let OpenResponse { connection, response, received_at } = open;
         let (head, body) = response.into_parts();
-        let retry_after = response::retry_after(&head.headers);
-        let report = context.report_fields.read(&head.headers);
-        let received_at = Instant::now();
         let is_complete = if head.status == StatusCode::OK && self.messages.len() == 1 {
             // The message is delivered whatever the body is. The body is only read so that the connection can
             // be reused.
-            self.trace_response(&connection, Outcome::Success);
-            self.complete(context, self.same_outcome_for_all(Outcome::Success, true), retry_after, report);
+            let outcomes = self.same_outcome_for_all(Outcome::Success, true);
+            self.report(&connection, outcomes, &head, received_at, context);
             match context.unread_responses.try_acquire() {
                 Ok(_permit) => response::complete_body(body).await.is_some(),
                 Err(_) => false,
@@ -135,37 +207,71 @@
             // the messages, regardless of the head. The outcomes of a batch are in the body.
             let body = timeout_at(self.expires, response::complete_body(body)).await.ok().flatten();
             let outcomes = match &body {
-                Some(body) if head.status == StatusCode::OK => {
-                    self.batch_outcomes(body, retry_after, &*context.ports.log)
-                }
-                Some(_) => {
-                    let (outcome, completes) = response::outcome(head.status, &head.headers, retry_after);
-                    self.same_outcome_for_all(outcome, completes)
-                }
+                Some(body) => self.outcomes(&head, body, context),
                 None => self.same_outcome_for_all(Outcome::Failure, false),
             };
-            if let Some(first) = outcomes.first() {
-                self.trace_response(&connection, first.outcome);
-            }
-            self.complete_at(received_at, context, outcomes, retry_after, report);
+            self.report(&connection, outcomes, &head, received_at, context);
             body.is_some()
         };
+        self.reusable(connection, is_complete)
+    }
+
+    /// Returns the connection if the response was read completely, and closes it otherwise.
+    fn reusable(&self, connection: EndpointConnection, is_complete: bool) -> Option<EndpointConnection> {
         if !is_complete {
             connection.close(CloseReason::CallFailed);
             return None;
         }
+        connection.connection.end_exchange();
         Some(connection)
     }
 
+    /// Returns the outcomes of a complete response other than the success of a single message.
+    fn outcomes(&self, head: &Parts, body: &[u8], context: &CallContext) -> Vec<AttemptOutcome> {
+        let retry_after = response::retry_after(&head.headers);
+        if head.status == StatusCode::OK {
+            return self.batch_outcomes(body, retry_after, &*context.ports.log);
+        }
+        let (outcome, completes) = response::outcome(head.status, &head.headers, retry_after);
+        self.same_outcome_for_all(outcome, completes)
+    }
+
+    /// Traces and reports the outcomes of a response with this head.
+    fn report(
+        &self,
+        connection: &EndpointConnection,
+        outcomes: Vec<AttemptOutcome>,
+        head: &Parts,
+        received_at: Instant,
+        context: &CallContext,
+    ) {
+        if let Some(first) = outcomes.first() {
+            self.trace_response(connection, first.outcome);
+        }
+        let retry_after = response::retry_after(&head.headers);
+        let report = context.report_fields.read(&head.headers);
+        self.complete_at(received_at, context, outcomes, retry_after, report);
+    }
+
     /// Sends the request, and waits for the head of the response. Returns `None` if the event loop no longer
     /// permits sending the messages.
     async fn open(
         &self,
-        idle: Option<EndpointConnection>,
+        idle: Option<TakenConnection<EndpointConnection>>,
         context: &CallContext,
     ) -> Result<Option<OpenResponse>, Outcome> {
-        if let Some(mut connection) = idle {
-            if connection.connection.is_alive().await {
+        if let Some(TakenConnection { mut connection, usable_at }) = idle {
+            let has_to_wait = usable_at > Instant::now();
+            sleep_until(usable_at).await;
+            if has_to_wait && !self.is_still_allowed(context).await {
+                self.return_unused(connection, context);
+                return Ok(None);
+            }
+            if !connection.connection.is_alive().await {
+                connection.close(CloseReason::ClosedByEndpoint);
+            } else if !context.trust.borrow().permits_reuse(Instant::now()) {
+                connection.close(CloseReason::ReuseSuspended);
+            } else {
                 match self.exchange(connection, context).await {
                     // The idle connection was stale. No byte of the request was written, so sending it on a
                     // new connection does not repeat it.
@@ -173,8 +279,6 @@
                     Err(failed) => return Err(failed.outcome),
                     Ok(open) => return Ok(Some(open)),
                 }
-            } else {
-                connection.close(CloseReason::ClosedByEndpoint);
             }
         }
         let Some(connection) = self.connect(context).await? else { return Ok(None) };
@@ -190,8 +294,14 @@
     ) -> Result<OpenResponse, FailedExchange> {
         connection.trace.request(self.number, self.messages.iter().map(BatchedMessage::traced));
         match self.send(&mut connection.connection, context).await {
-            Ok(response) => Ok(OpenResponse { connection, response }),
+            Ok(response) => Ok(OpenResponse { connection, response, received_at: Instant::now() }),
             Err(outcome) => {
+                let answer = self.received_answer(&connection);
+                let attribution = context.trust.borrow().attribute(&answer, Instant::now());
+                let outcome = match outcome {
+                    Outcome::Success if attribution != Attribution::Certain => Outcome::Reset,
+                    outcome => outcome,
+                };
                 let has_started = connection.connection.has_request_started();
                 self.trace_response(&connection, outcome);
                 connection.close(CloseReason::CallFailed);
@@ -256,10 +366,7 @@
         loop {
             let remaining = deadline.saturating_duration_since(Instant::now());
             let (network, trace) = (&*context.ports.network, &context.trace);
-            let (endpoint, events) = (self.endpoint, context.events.clone());
-            let on_unsolicited = move || {
-                let _ = events.send(LoopEvent::UnsolicitedResponse(endpoint));
-            };
+            let on_unsolicited = self.on_unsolicited(context);
             let opened =
                 EndpointConnection::open(network, self.address, remaining, trace, on_unsolicited).await;
             match opened {
@@ -274,22 +381,46 @@
         }
     }
 
+    /// Returns the handler of what the endpoint sends while no request is in progress on a connection.
+    fn on_unsolicited(&self, context: &CallContext) -> impl FnOnce(&[u8]) + 'static {
+        let (endpoint, trust, events) = (self.endpoint, context.trust.clone(), context.events.clone());
+        move |bytes| {
+            let (head, received_at) = (UnsolicitedHead::read(bytes), Instant::now());
+            let suspends_reuse = trust.borrow_mut().record_unsolicited(head.status, received_at);
+            let retry_after = head.retry_after;
+            let unsolicited = UnsolicitedResponse { endpoint, received_at, retry_after, suspends_reuse };
+            let _ = events.send(LoopEvent::UnsolicitedResponse(unsolicited));
+        }
+    }
+
     /// Opens a connection for the call. Returns `None` if the event loop no longer permits sending the
     /// messages once the connection is open.
     async fn connect(&self, context: &CallContext) -> Result<Option<EndpointConnection>, Outcome> {
         let connection = self.open_connection(context).await?;
-        let (is_allowed, allowed) = oneshot::channel();
-        let messages = self.messages.iter().map(|message| message.number).collect();
-        let connected = LoopEvent::Connected { endpoint: self.endpoint, messages, is_allowed };
-        let _ = context.events.send(connected);
-        // After the event loop has ended, no message is sent.
-        if !allowed.await.unwrap_or(false) {
+        let _ = context.events.send(LoopEvent::Connected(self.endpoint));
+        if !self.is_still_allowed(context).await {
             connection.close(CloseReason::CallWithdrawn);
             return Ok(None);
         }
         Ok(Some(connection))
     }
 
+    /// Asks the event loop whether the messages may still be sent.
+    async fn is_still_allowed(&self, context: &CallContext) -> bool {
+        let (is_allowed, allowed) = oneshot::channel();
+        let messages = self.messages.iter().map(|message| message.number).collect();
+        let confirm = LoopEvent::ConfirmCall { endpoint: self.endpoint, messages, is_allowed };
+        let _ = context.events.send(confirm);
+        // After the event loop has ended, no message is sent.
+        allowed.await.unwrap_or(false)
+    }
+
+    /// Returns a connection to the event loop on which nothing was sent.
+    fn return_unused(&self, connection: EndpointConnection, context: &CallContext) {
+        let (endpoint, address) = (self.endpoint, self.address);
+        let _ = context.events.send(LoopEvent::ConnectionIdle { endpoint, address, connection });
+    }
+
     fn request(&self) -> (Builder, Bytes) {
         let time_left = self.expires.saturating_duration_since(Instant::now()).as_secs_f64();
         let path = if self.messages.len() > 1 { "/hook/batch" } else { "/hook" };
--- a/src/daemon/outbound_call/response.rs
+++ b/src/daemon/outbound_call/response.rs
@@ -12,6 +12,8 @@
 const MAX_RETRY_AFTER_SECONDS: f64 = 3600.0;
 /// Upper bound on a reported limit, in calls per second. A report with a higher one is ignored.
 const MAX_LIMIT_PER_SECOND: f64 = 1e6;
+/// Upper bound on the header fields that are read of an unsolicited response.
+const MAX_UNSOLICITED_FIELDS: usize = 32;
 /// The header that contains the load report.
 const LOAD_REPORT_HEADER: &str = "X-Pressure";
 /// The header that marks a response as sent without forwarding the message, because the endpoint had no slot
@@ -44,10 +46,37 @@
 
 /// Returns the Retry-After, which may be a fraction of a second, or `None` if it is missing or not positive.
 pub fn retry_after(headers: &HeaderMap) -> Option<TimeDelta> {
-    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    parse_retry_after(headers.get(RETRY_AFTER)?.to_str().ok()?)
+}
+
+fn parse_retry_after(text: &str) -> Option<TimeDelta> {
+    let seconds: f64 = text.trim().parse().ok()?;
     (seconds > 0.0).then(|| TimeDelta((seconds.min(MAX_RETRY_AFTER_SECONDS) * 1e6).ceil() as u64))
 }
 
+/// A response that arrived while no request was in progress, as far as its head could be read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UnsolicitedHead {
+    /// The status, if there is a status line.
+    pub status: Option<u16>,
+    /// The Retry-After.
+    pub retry_after: Option<TimeDelta>,
+}
+
+impl UnsolicitedHead {
+    /// Reads the head at the start of `bytes`.
+    pub fn read(bytes: &[u8]) -> Self {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_UNSOLICITED_FIELDS];
+        let mut head = httparse::Response::new(&mut fields);
+        // What could be read before an error counts.
+        let _ = head.parse(bytes);
+        let mut headers = head.headers.iter();
+        let wait = headers.find(|field| field.name.eq_ignore_ascii_case(RETRY_AFTER.as_str()));
+        let wait = wait.and_then(|field| std::str::from_utf8(field.value).ok()).and_then(parse_retry_after);
+        Self { status: head.code, retry_after: wait }
+    }
+}
+
 /// The fields that load reports contain.
 #[derive(Clone, Copy)]
 pub struct ReportFields {
--- a/src/daemon/request_trace.rs
+++ b/src/daemon/request_trace.rs
@@ -43,6 +43,10 @@
     ClosedByEndpoint,
     /// The endpoint sent something on it while no request was in progress.
     UnsolicitedResponse,
+    /// The response on it may belong to another call.
+    UnattributedResponse,
+    /// Connections are used for one call each.
+    ReuseSuspended,
 }
 
 impl fmt::Display for CloseReason {
@@ -55,6 +59,8 @@
             Self::EndpointOutOfService => "endpoint_out_of_service",
             Self::ClosedByEndpoint => "closed_by_endpoint",
             Self::UnsolicitedResponse => "unsolicited_response",
+            Self::UnattributedResponse => "unattributed_response",
+            Self::ReuseSuspended => "reuse_suspended",
         })
     }
 }
@@ -136,6 +142,11 @@
         ));
     }
 
+    /// Returns whether at most one request was sent on the connection.
+    pub fn is_first_request(&self) -> bool {
+        self.requests <= 1
+    }
+
     /// Traces that the connection was closed.
     pub fn closed(&self, reason: CloseReason) {
         let Some(log) = &self.log else { return };
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -15,6 +15,7 @@
 mod raw_connections;
 mod recovery;
 mod restarts;
+mod second_answers;
 mod signals;
 mod startup;
 mod system_calls;
