Send each batch of notifications on a connection of its own

Callers would see: a message that ended, and whose notification the platform never took.

Change: no connection is kept between batches, so no answer to another batch can arrive. The agent is on the sender's own machine; notifications are rare.

--- a/src/daemon/notifications/mod.rs
+++ b/src/daemon/notifications/mod.rs
@@ -64,10 +64,8 @@
     event_loop: UnboundedSender<LoopEvent>,
     ports: Ports,
 ) {
-    let connected_address = platform_address.get();
     let queue = NotificationQueue::default();
-    let mut notifier =
-        Notifier { platform_address, connected_address, connection: None, queue, event_loop, ports };
+    let mut notifier = Notifier { platform_address, queue, event_loop, ports };
     loop {
         notifier.take_incoming(&mut incoming);
         let next = match notifier.queue.pop_ready(Instant::now()) {
@@ -84,9 +82,6 @@
 struct Notifier {
     /// The current address of the platform.
     platform_address: WatchCell<SocketAddr>,
-    /// The address that `connection` was opened for.
-    connected_address: SocketAddr,
-    connection: Option<Connection>,
     queue: NotificationQueue,
     event_loop: UnboundedSender<LoopEvent>,
     ports: Ports,
@@ -144,20 +139,16 @@
                     .log
                     .line(&format!("notifications: call failed, retrying count={count} error={error}"));
                 self.queue.requeue(batch);
-                self.connection = None;
                 sleep(RETRY_DELAY).await;
             }
         }
         ControlFlow::Continue(())
     }
 
-    async fn call(&mut self, notifications: &[Notification]) -> Result<(), NotificationError> {
+    async fn call(&self, notifications: &[Notification]) -> Result<(), NotificationError> {
         let platform = self.platform_address.get();
-        if std::mem::replace(&mut self.connected_address, platform) != platform {
-            self.connection = None;
-        }
         let network = &*self.ports.network;
-        let call = timeout(CALL_TIMEOUT, post(network, platform, notifications, &mut self.connection));
+        let call = timeout(CALL_TIMEOUT, post(network, platform, notifications));
         tokio::select! {
             biased;
             () = self.platform_address.wait_for(|address| address != platform) => {
@@ -183,25 +174,17 @@
     text.into()
 }
 
-/// Makes a call on the cached connection or a new one. Caches the connection again if the response was
-/// complete.
+/// Makes a call on a connection of its own, on which no response to another call can arrive.
 async fn post(
     network: &dyn Network,
     platform: SocketAddr,
     notifications: &[Notification],
-    cached: &mut Option<Connection>,
 ) -> Result<(), NotificationError> {
-    // The cached connection may be stale. The call then fails and is retried, as notifications are
-    // idempotent.
-    let mut connection = match cached.take() {
-        Some(connection) => connection,
-        None => Connection::open(network, platform, CALL_TIMEOUT).await?,
-    };
+    let mut connection = Connection::open(network, platform, CALL_TIMEOUT).await?;
     let head = request(Method::POST, "/v1/notices", platform);
     let response = connection.send(head, body(notifications), None).await?;
     let status = response.status();
-    if response.into_body().collect().await.is_ok() {
-        *cached = Some(connection);
-    }
+    // Read to the end, so that closing the connection does not reset it.
+    let _ = response.into_body().collect().await;
     if status == StatusCode::NO_CONTENT { Ok(()) } else { Err(NotificationError::Status(status)) }
 }
--- a/tests/sockets/notifications.rs
+++ b/tests/sockets/notifications.rs
@@ -1,4 +1,4 @@
-//! Notifications that the platform rejects.
+//! Notifications that the platform rejects, and acknowledgements that arrive twice.
 use super::harness::*;
 use std::time::Duration;
 
@@ -49,3 +49,42 @@
     let ended = tokio::time::timeout(Duration::from_millis(3_000), node.exits_successfully()).await;
     assert!(ended.expect("the process did not exit in time"));
 }
+
+/// Guards against ending a message by an acknowledgement that was sent twice: the platform acknowledges the
+/// first notification again while the second one is on its way, and does not take the second one.
+#[tokio::test]
+async fn a_repeated_acknowledgement_acknowledges_no_other_notification() {
+    let (endpoint, mut platform_server) = (TestServer::start().await, TestServer::start().await);
+    let platform = Platform::served_by_test(platform_server.address);
+    let node = Node::start(&platform, &[endpoint_entry("s-1", endpoint.address, "single", "DRAINING")]).await;
+    let _watch = platform_server.next_call().await;
+    let mut next_notification = async || {
+        let notification = async {
+            loop {
+                let call = platform_server.next_call().await;
+                if call.request.start_line.starts_with("POST /v1/notices") {
+                    return call;
+                }
+            }
+        };
+        tokio::time::timeout(TEST_TIMEOUT, notification).await.expect("no notification arrived in time")
+    };
+    assert_eq!(node.submit_with_remaining("m1", "unsafe", "", "0.5").await.status(), 202);
+    let first = next_notification().await;
+    let connection = first.connection;
+    first.reply(response("204 No Content", "", ""));
+    assert_eq!(node.submit_with_remaining("m2", "unsafe", "", "0.5").await.status(), 202);
+    let second = next_notification().await;
+    if second.connection == connection {
+        // The first answer again, followed by the one to the second notification.
+        let answers = ["204 No Content", "503 Service Unavailable"]
+            .map(|status| format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n"));
+        second.reply(Reply::Response(answers.concat()));
+    } else {
+        second.reply(response("503 Service Unavailable", "", ""));
+    }
+    let again = next_notification().await;
+    assert!(String::from_utf8_lossy(&again.request.body).contains("m2"));
+    again.reply(response("204 No Content", "", ""));
+    node.wait_for_metrics("both messages have ended", |metrics| metrics["inflight"] == 0).await;
+}
