Send each request for the endpoint list on a connection of its own

Callers would see: calls to a draining endpoint.

Change: no connection is kept between requests to the agent.

Result: watch::a_repeated_list_does_not_answer_a_later_watch failed before and passes; the others of watch pass.

--- a/src/daemon/discovery.rs
+++ b/src/daemon/discovery.rs
@@ -50,7 +50,6 @@
     agent: SocketAddr,
     /// The revision whose changes the next request asks for; `None` requests the complete list.
     revision: Option<u64>,
-    connection: Option<Connection>,
     /// The delay before the next request.
     delay: Duration,
     /// Whether the last request failed. Only the first failure of an outage is logged.
@@ -71,7 +70,6 @@
     let mut watch = Watch {
         agent: address.get(),
         revision: resume_revision,
-        connection: None,
         delay,
         is_failing: false,
         schedule,
@@ -104,7 +102,6 @@
     fn switch_agent(&mut self, agent: SocketAddr) {
         self.agent = agent;
         self.revision = None;
-        self.connection = None;
         self.delay = Duration::ZERO;
     }
 
@@ -126,12 +123,9 @@
             Some(revision) => format!("/api/targets?from={revision}&hold_ms={}", poll.hold.as_millis()),
             None => "/api/targets".to_owned(),
         };
-        let cached = self.connection.take();
+        // Each request has a connection of its own, on which no response to another request can arrive.
         let (connection, response) = timeout(poll.response_timeout, async {
-            let mut connection = match cached {
-                Some(connection) => connection,
-                None => Connection::open(network, agent, poll.response_timeout).await?,
-            };
+            let mut connection = Connection::open(network, agent, poll.response_timeout).await?;
             let response = connection.send(request(Method::GET, &path, agent), Bytes::new(), None).await?;
             Ok::<_, CallError>((connection, response))
         })
@@ -142,7 +136,7 @@
         }
         let body = Limited::new(response.into_body(), self.max_list_bytes).collect().await;
         let list: EndpointList = serde_json::from_slice(&body.map_err(WatchError::Body)?.to_bytes())?;
-        self.connection = Some(connection);
+        drop(connection);
         Ok(EndpointList { agent: Some(agent), ..list })
     }
 
@@ -162,7 +156,6 @@
             ports.log.line(&format!("discovery: poll failed error={error}"));
         }
         self.is_failing = true;
-        self.connection = None;
         self.delay = self.schedule.record_failure();
     }
 }
