--- a/crates/micadrum-testkit/tests/common/mod.rs
+++ b/crates/micadrum-testkit/tests/common/mod.rs
@@ -15,6 +15,12 @@
     files
 }
 
+/// Returns the text of a scenario in `deploy/scenarios`.
+pub fn shipped_scenario(name: &str) -> String {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/scenarios");
+    std::fs::read_to_string(folder.join(name)).unwrap()
+}
+
 /// Parses a scenario file.
 pub fn read_scenario(file: &Path) -> Scenario {
     Scenario::parse(&file.display().to_string(), &std::fs::read_to_string(file).unwrap()).unwrap()
--- a/crates/micadrum-testkit/tests/repeated_answers.rs
+++ b/crates/micadrum-testkit/tests/repeated_answers.rs
@@ -4,6 +4,7 @@
 
 use micadrum_testkit::live;
 use micadrum_testkit::plan::Plan;
+use micadrum_testkit::scenario::Scenario;
 
 /// Seeds of the simulated runs.
 const SIMULATED_SEEDS: std::ops::RangeInclusive<u64> = 1..=12;
@@ -52,3 +53,16 @@
         assert!(report.verdict.all_hold, "seed {seed}\n{}", report.text());
     }
 }
+
+/// Guards against the same when the second answer comes up to 300 ms after the first, in the time of an
+/// ordinary answer.
+#[test]
+fn second_answers_that_come_late_violate_no_invariant() {
+    let text = common::shipped_scenario("repeated-answers.toml");
+    let late = text.replace("calls = \"100%\"", "calls = \"40%\"").replace("\"12 ms\"", "\"300 ms\"");
+    assert_ne!(text, late);
+    for seed in 1..=4 {
+        let report = common::simulate(Plan::new(Scenario::parse("late.toml", &late).unwrap(), seed));
+        assert!(report.verdict.all_hold, "seed {seed}\n{}", report.text());
+    }
+}
