--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -11,7 +11,6 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 
@@ -389,22 +388,45 @@
 
     /// Writes the configuration file.
     pub fn configure(&self, known: &str, settings: &str) {
+        self.write_configuration("config.json", "", known, settings);
+    }
+
+    /// Writes a configuration file for a process with the second address `management`.
+    pub fn configure_with_management(&self, file: &str, management: SocketAddr, known: &str, settings: &str) {
+        self.write_configuration(file, &format!("\"management\":\"{management}\","), known, settings);
+    }
+
+    fn write_configuration(&self, file: &str, management: &str, known: &str, settings: &str) {
         let folder = self.folder();
         std::fs::create_dir_all(folder.join("state")).unwrap_or_else(|error| cannot_run(error));
         let seed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
         let config = format!(
-            "{{\"name\":\"{}\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"{seed:016x}\",\
+            "{{\"name\":\"{}\",\"listen\":\"{}\",{management}\"discovery\":\"{}\",\"seed\":\"{seed:016x}\",\
              \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024,\"disk_mb\":3}},\
              \"known\":{known},\"settings\":{settings}}}",
             self.name, self.listen, self.discovery
         );
-        let (new, path) = (folder.join("config.json.new"), folder.join("config.json"));
+        let new = folder.join(format!("{file}.new"));
         std::fs::write(&new, config).unwrap_or_else(|error| cannot_run(error));
-        std::fs::rename(new, path).unwrap_or_else(|error| cannot_run(error));
+        std::fs::rename(new, folder.join(file)).unwrap_or_else(|error| cannot_run(error));
     }
 
-    /// Starts the program with the `run` command of the deploy file, and waits until it is ready.
+    /// Starts the program, and waits until it is ready.
     pub fn start(&self) -> Sender {
+        let mut sender = self.spawn("config.json");
+        let until = Instant::now() + Duration::from_secs(10);
+        while !answers_200(self.listen, "/-/ready") {
+            if sender.has_ended() || Instant::now() > until {
+                cannot_run(format!("{} did not get ready", self.name));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        note!(self.record, "platform: {} is ready", self.name);
+        sender
+    }
+
+    /// Starts the program with the `run` command of the deploy file and the configuration `file`.
+    pub fn spawn(&self, file: &str) -> Sender {
         let deploy = std::fs::read_to_string(self.folders.root.join("deploy/balancer.toml"))
             .unwrap_or_else(|error| cannot_run(error));
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")?.strip_suffix('"'));
@@ -421,7 +443,7 @@
             .env("PROXY_LISTEN", self.listen.to_string())
             .env("PROXY_DISCOVERY", self.discovery.to_string())
             .env("PROXY_STATE", folder.join("state"))
-            .env("PROXY_CONFIG", folder.join("config.json"))
+            .env("PROXY_CONFIG", folder.join(file))
             .env("TMPDIR", scratch)
             .stdin(Stdio::null())
             .stdout(Stdio::from(log.try_clone().unwrap()))
@@ -430,16 +452,7 @@
         let child = child.unwrap_or_else(|error| cannot_run(format!("start: {error}")));
         RUNNING.lock().unwrap().push(child.id());
         note!(self.record, "platform: started {} pid={}", self.name, child.id());
-        let mut sender = Sender { listen: self.listen, child };
-        let until = Instant::now() + Duration::from_secs(10);
-        while !is_ready(self.listen) {
-            if sender.has_ended() || Instant::now() > until {
-                cannot_run(format!("{} did not get ready", self.name));
-            }
-            thread::sleep(Duration::from_millis(20));
-        }
-        note!(self.record, "platform: {} is ready", self.name);
-        sender
+        Sender { listen: self.listen, child }
     }
 
     /// Returns what the sender's processes have logged.
@@ -490,12 +503,13 @@
     }
 }
 
-fn is_ready(address: SocketAddr) -> bool {
+/// Returns whether a GET of `path` at `address` is answered with 200.
+pub fn answers_200(address: SocketAddr, path: &str) -> bool {
     let ask = || -> io::Result<u16> {
-        let mut http = HttpStream::new(TcpStream::connect_timeout(&address, Duration::from_millis(200))?);
-        http.stream.set_read_timeout(Some(Duration::from_millis(400)))?;
-        let request = b"GET /-/ready HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n";
-        http.stream.write_all(request)?;
+        let mut http = connect(address)?;
+        http.stream.set_read_timeout(Some(Duration::from_millis(1000)))?;
+        let request = format!("GET {path} HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n");
+        http.stream.write_all(request.as_bytes())?;
         Ok(http.read()?.map_or(0, |answer| answer.status()))
     };
     ask().is_ok_and(|status| status == 200)
