Log the end of a shutdown, and connections closed before a response

Nothing told apart the possible causes: a request whose submission no event loop reads, one cut in its head or body, one whose response is not written, and a connection that is closed between requests. The counter violations.closing cannot be read once the process has ended.

Change: a connection's permit knows the stage of its request (idle, head, body, processing, responding) in place of two flags, and the limits count the connections at each stage. New lines: shutdown: requested; shutdown: event loop ended, with reason, time, messages and calls; shutdown: complete, with the submissions that nobody read and the connections at each stage; ingress: connection closed before the response was written, with stage and listener state, once a second. No behaviour changes.

--- a/src/daemon/client_listener.rs
+++ b/src/daemon/client_listener.rs
@@ -1,11 +1,13 @@
 //! The listening socket for clients, and the task that serves it.
 use super::environment::{BoundListener, Environment};
 use super::events::LoopEvent;
+use super::ingress::{self, ConnectionLimits, IngressContext, MIN_UNSERVED_AGE, UnansweredRequests};
 use super::ports::Listener;
-use super::{StartError, handover, ingress};
+use super::{StartError, handover};
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::{JoinHandle, spawn_local};
 
@@ -17,6 +19,8 @@
     pub listener: Rc<dyn Listener>,
     /// Completes once the listener is closed or handed over and every request has been answered.
     pub server: JoinHandle<()>,
+    /// The limits of the clients' connections.
+    pub limits: Arc<ConnectionLimits>,
 }
 
 impl ClientListener {
@@ -33,22 +37,31 @@
         let BoundListener { listener, at } = environment.listen(address, inherited).await?;
         environment.ports.log.line(&format!("listening on {at}"));
         let listener = Rc::<dyn Listener>::from(listener);
-        let server = ingress::serve(
-            listener.clone(),
-            at,
-            environment.events.clone(),
-            environment.listener_state.clone(),
-            environment.budget,
-            environment.violations.clone(),
-            &environment.ports,
-        );
+        let budget = &environment.budget;
+        let limits =
+            ConnectionLimits::new(budget.client_connections, budget.request_body_bytes, MIN_UNSERVED_AGE);
+        let context = ingress_context(environment, at);
+        let log = environment.ports.log.clone();
+        let server = spawn_local(ingress::serve(listener.clone(), limits.clone(), context, log));
         listen_for_successor(environment);
-        Ok(Self { listener, server: spawn_local(server) })
+        Ok(Self { listener, server, limits })
     }
 
     /// Waits until the last responses to clients are written, or a short timeout has passed.
-    pub async fn finish(self) {
-        let _ = tokio::time::timeout(LAST_RESPONSES_TIMEOUT, self.server).await;
+    pub async fn finish(&mut self) {
+        let _ = tokio::time::timeout(LAST_RESPONSES_TIMEOUT, &mut self.server).await;
+    }
+}
+
+fn ingress_context(environment: &Environment, address: SocketAddr) -> IngressContext {
+    let (log, listener) = (environment.ports.log.clone(), environment.listener_state.clone());
+    let unanswered = UnansweredRequests::new(log, listener, environment.violations.clone());
+    IngressContext {
+        events: environment.events.clone(),
+        state: environment.listener_state.clone(),
+        network: environment.ports.network.clone(),
+        address,
+        unanswered: Rc::new(unanswered),
     }
 }
 
--- a/src/daemon/event_loop/calls.rs
+++ b/src/daemon/event_loop/calls.rs
@@ -32,6 +32,11 @@
         Self { started: BTreeMap::new(), next_number: 0, pool, context }
     }
 
+    /// Returns the number of calls in flight.
+    pub(super) fn len(&self) -> usize {
+        self.started.len()
+    }
+
     /// Returns whether no call is in flight.
     pub(super) fn is_empty(&self) -> bool {
         self.started.is_empty()
--- a/src/daemon/event_loop/mod.rs
+++ b/src/daemon/event_loop/mod.rs
@@ -150,6 +150,7 @@
             let now = Instant::now();
             self.run_due_work(now);
             if self.is_shutdown_over(now) {
+                self.log_shutdown(now);
                 return None;
             }
             while self.tasks.try_join_next().is_some() {}
--- a/src/daemon/event_loop/shutdown.rs
+++ b/src/daemon/event_loop/shutdown.rs
@@ -98,6 +98,7 @@
         if self.lifecycle.is_shutting_down() {
             return;
         }
+        self.log(format_args!("shutdown: requested"));
         let earliest = requested_at + MIN_SHUTDOWN_DURATION;
         let latest = requested_at + SHUTDOWN_TIMEOUT;
         self.lifecycle.shutdown = Some(ShutdownDeadlines { earliest, latest });
@@ -114,6 +115,19 @@
         })
     }
 
+    /// Logs why the loop ends at `now`, and what it leaves to the next process.
+    pub(super) fn log_shutdown(&self, now: Instant) {
+        let Some(deadlines) = self.lifecycle.shutdown else { return };
+        let reason = if now >= deadlines.latest { "deadline" } else { "idle" };
+        let elapsed = now + SHUTDOWN_TIMEOUT - deadlines.latest;
+        self.log(format_args!(
+            "shutdown: event loop ended reason={reason} after_ms={} messages={} calls={}",
+            elapsed.as_millis(),
+            self.messages.journal.pending().count(),
+            self.calls.len()
+        ));
+    }
+
     /// Begins a handover to a successor. A second request during a handover is dropped, which closes the
     /// connection to its process.
     pub(super) fn request_handover(&mut self, successor: Successor) {
--- a/src/daemon/ingress/connection_limits.rs
+++ b/src/daemon/ingress/connection_limits.rs
@@ -3,6 +3,7 @@
 //! A connection is idle while no request on it waits for a response. When all permits are taken, the
 //! connection that has been idle longest is asked to close. A connection that has not carried a response yet
 //! is closed last, and only after a minimum time, because its first request may be in transit.
+use super::request_stage::{RequestStage, StageCounts};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,6 +19,7 @@
     permits: Arc<Semaphore>,
     body_bytes: Semaphore,
     idle: Mutex<IdleConnections>,
+    stages: Mutex<StageCounts>,
     max_connections: usize,
     /// How long a connection without a response is kept open before it may be closed for another one.
     min_unserved_age: Duration,
@@ -76,6 +78,7 @@
             permits: Arc::new(Semaphore::new(max_connections)),
             body_bytes: Semaphore::new(max_body_bytes),
             idle: Mutex::default(),
+            stages: Mutex::default(),
             max_connections,
             min_unserved_age,
         })
@@ -116,9 +119,18 @@
         self.body_bytes.try_acquire_many(bytes as u32).ok()
     }
 
+    /// Returns how many open connections are at each stage of a request.
+    pub fn stage_counts(&self) -> StageCounts {
+        *self.stages()
+    }
+
     fn idle(&self) -> MutexGuard<'_, IdleConnections> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn stages(&self) -> MutexGuard<'_, StageCounts> {
+        self.stages.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// The permit of one open connection.
@@ -127,81 +139,100 @@
     pub limits: Arc<ConnectionLimits>,
     /// Signals that the connection has to close to make room for another one.
     pub close_signal: Arc<CloseSignal>,
-    /// The key in the order of closing, or `None` while the connection is busy.
-    close_order: Mutex<Option<CloseOrder>>,
-    /// Whether the response to the last request has been created and not yet been flushed.
-    has_unflushed_response: AtomicBool,
-    /// Whether a request was read whose response has not been flushed.
-    has_unanswered_request: AtomicBool,
+    state: Mutex<ConnectionState>,
     _permit: OwnedSemaphorePermit,
 }
 
+/// The state of an open connection.
+struct ConnectionState {
+    stage: RequestStage,
+    /// The key in the order of closing, or `None` while the connection is busy.
+    close_order: Option<CloseOrder>,
+}
+
 impl ConnectionPermit {
     fn new(limits: Arc<ConnectionLimits>, permit: OwnedSemaphorePermit) -> Self {
-        let permit = Self {
-            limits,
-            close_signal: Arc::default(),
-            close_order: Mutex::default(),
-            has_unflushed_response: AtomicBool::default(),
-            has_unanswered_request: AtomicBool::default(),
-            _permit: permit,
-        };
+        limits.stages().add(RequestStage::Idle);
+        let state = ConnectionState { stage: RequestStage::Idle, close_order: None };
+        let permit = Self { limits, close_signal: Arc::default(), state: Mutex::new(state), _permit: permit };
         permit.enter_idle(true);
         permit
     }
 
-    /// Records that a request was read completely.
-    pub fn set_request_read(&self) {
-        self.has_unanswered_request.store(true, Ordering::Relaxed);
+    /// Returns how far the connection has come with its current request.
+    pub fn stage(&self) -> RequestStage {
+        self.state().stage
+    }
+
+    /// Records that a request has begun to arrive: the connection is busy until its response is flushed.
+    pub fn set_busy(&self) {
+        self.leave_idle();
+        if self.stage() == RequestStage::Idle {
+            self.set_stage(RequestStage::Head);
+        }
     }
 
-    /// Returns whether a request was read whose response has not been flushed.
-    pub fn has_unanswered_request(&self) -> bool {
-        self.has_unanswered_request.load(Ordering::Relaxed)
+    /// Returns whether a request has begun to arrive and its response has not been flushed yet.
+    pub fn is_busy(&self) -> bool {
+        self.stage() != RequestStage::Idle
+    }
+
+    /// Records that the head of a request was read.
+    pub fn set_head_read(&self) {
+        self.set_busy();
+        self.set_stage(RequestStage::Body);
+    }
+
+    /// Records that a request was read completely.
+    pub fn set_request_read(&self) {
+        self.set_stage(RequestStage::Processing);
     }
 
     /// Records that the response to the last request was created and will be written next.
     pub fn set_responded(&self) {
-        self.has_unflushed_response.store(true, Ordering::Relaxed);
+        self.set_stage(RequestStage::Responding);
     }
 
     /// Records that all output was flushed. If it included a response, the connection becomes idle.
     pub fn set_flushed(&self) {
-        if self.has_unflushed_response.swap(false, Ordering::Relaxed) {
-            self.has_unanswered_request.store(false, Ordering::Relaxed);
+        if self.stage() == RequestStage::Responding {
+            self.set_stage(RequestStage::Idle);
             self.enter_idle(false);
         }
     }
 
+    fn set_stage(&self, stage: RequestStage) {
+        let previous = std::mem::replace(&mut self.state().stage, stage);
+        let mut counts = self.limits.stages();
+        counts.remove(previous);
+        counts.add(stage);
+    }
+
     fn enter_idle(&self, is_unserved: bool) {
         let mut idle = self.limits.idle();
         let order = CloseOrder { is_unserved, number: idle.next_number };
         idle.next_number += 1;
         let connection = IdleConnection { since: Instant::now(), close_signal: self.close_signal.clone() };
         idle.by_close_order.insert(order, connection);
-        *self.close_order() = Some(order);
+        self.state().close_order = Some(order);
     }
 
-    /// Records that a request has begun to arrive: the connection is busy until its response is flushed.
-    pub fn set_busy(&self) {
-        if let Some(order) = self.close_order().take() {
+    fn leave_idle(&self) {
+        let order = self.state().close_order.take();
+        if let Some(order) = order {
             self.limits.idle().by_close_order.remove(&order);
         }
     }
 
-    /// Returns whether a request has begun to arrive and its response has not been flushed yet.
-    pub fn is_busy(&self) -> bool {
-        self.close_order().is_none()
-    }
-
-    fn close_order(&self) -> MutexGuard<'_, Option<CloseOrder>> {
-        self.close_order.lock().unwrap_or_else(PoisonError::into_inner)
+    fn state(&self) -> MutexGuard<'_, ConnectionState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Drop for ConnectionPermit {
     fn drop(&mut self) {
-        self.set_busy();
+        self.leave_idle();
+        self.limits.stages().remove(self.stage());
     }
 }
 
--- a/src/daemon/ingress/mod.rs
+++ b/src/daemon/ingress/mod.rs
@@ -6,14 +6,14 @@
 mod forwarding;
 mod lingering_close;
 mod request_activity;
+mod request_stage;
 mod submission;
+mod unanswered_requests;
 
 use super::accept_failure::AcceptFailure;
 use super::error_log_limit::ErrorLogLimit;
 use super::events::{ListenerState, LoopEvent, SubmitResponse};
-use super::ports::{Listener, Log, Network, Ports, Stream};
-use super::resource_budget::ResourceBudget;
-use super::runtime_checks::Violations;
+use super::ports::{Listener, Log, Network, Stream};
 use super::watch_cell::WatchCell;
 use bytes::Bytes;
 pub use connection_limits::{ConnectionLimits, ConnectionPermit};
@@ -37,6 +37,7 @@
 use tokio::sync::oneshot;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep, timeout};
+pub use unanswered_requests::UnansweredRequests;
 
 /// Upper bound on the size of a request head. Stored header values are limited to 1 KiB each, and there are
 /// few.
@@ -49,45 +50,35 @@
 const BODY_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a connection without a response is kept open before it may be closed for another one. Clients
 /// send a request as soon as they are connected, and wait 400 ms for the response.
-const MIN_UNSERVED_AGE: Duration = Duration::from_millis(500);
+pub const MIN_UNSERVED_AGE: Duration = Duration::from_millis(500);
 /// Delay before accepting again after an error that affects all connections, such as running out of
 /// descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// The state that all client connections share.
-struct IngressContext {
-    events: UnboundedSender<LoopEvent>,
-    state: WatchCell<ListenerState>,
-    network: Rc<dyn Network>,
+pub struct IngressContext {
+    /// The channel to the event loop.
+    pub events: UnboundedSender<LoopEvent>,
+    /// Whether clients are served.
+    pub state: WatchCell<ListenerState>,
+    /// Connects to the successor after a handover.
+    pub network: Rc<dyn Network>,
     /// The address that clients connect to. After a handover, the successor listens there.
-    address: SocketAddr,
-    violations: Violations,
+    pub address: SocketAddr,
+    /// Reports connections that are closed before a request on them is answered.
+    pub unanswered: Rc<UnansweredRequests>,
 }
 
 /// Serves clients until the listener is closed or handed over and every request that was read has been
 /// answered.
-pub fn serve(
+pub async fn serve(
     listener: Rc<dyn Listener>,
-    address: SocketAddr,
-    events: UnboundedSender<LoopEvent>,
-    state: WatchCell<ListenerState>,
-    budget: ResourceBudget,
-    violations: Violations,
-    ports: &Ports,
-) -> impl Future<Output = ()> + use<> {
-    let context = IngressContext { events, state, network: ports.network.clone(), address, violations };
-    accept(listener, Rc::new(context), budget, ports.log.clone())
-}
-
-async fn accept(
-    listener: Rc<dyn Listener>,
-    context: Rc<IngressContext>,
-    budget: ResourceBudget,
+    limits: Arc<ConnectionLimits>,
+    context: IngressContext,
     log: Rc<dyn Log>,
 ) {
+    let context = Rc::new(context);
     let state = &context.state;
-    let limits =
-        ConnectionLimits::new(budget.client_connections, budget.request_body_bytes, MIN_UNSERVED_AGE);
     let (started_at, mut log_limit) = (Instant::now(), ErrorLogLimit::default());
     let has_stopped = |state| matches!(state, ListenerState::Closed | ListenerState::HandedOver);
     loop {
@@ -137,7 +128,7 @@
     context: Rc<IngressContext>,
 ) {
     let stream =
-        RequestActivity::new(LingeringClose::new(stream), permit.clone(), context.violations.clone());
+        RequestActivity::new(LingeringClose::new(stream), permit.clone(), context.unanswered.clone());
     let service = service_fn(|request| {
         let (permit, context) = (permit.clone(), context.clone());
         async move { Ok::<_, Infallible>(respond(request, &permit, &context).await) }
@@ -167,7 +158,7 @@
     permit: &ConnectionPermit,
     context: &IngressContext,
 ) -> Response<Full<Bytes>> {
-    permit.set_busy();
+    permit.set_head_read();
     let mut response = match (request.method(), request.uri().path()) {
         (&Method::GET, "/-/ready") => context.readiness().await,
         (&Method::POST, "/api") => submit(request, permit, context).await,
--- a/src/daemon/ingress/request_activity.rs
+++ b/src/daemon/ingress/request_activity.rs
@@ -2,9 +2,10 @@
 //! flushed.
 use super::ConnectionPermit;
 use super::lingering_close::LingeringClose;
-use crate::daemon::runtime_checks::Violations;
+use super::unanswered_requests::UnansweredRequests;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -19,13 +20,17 @@
     has_stopped_reading: bool,
     /// The client has closed its sending side, or the connection has failed.
     has_client_closed: bool,
-    violations: Violations,
+    unanswered: Rc<UnansweredRequests>,
 }
 
 impl RequestActivity {
     /// Wraps the stream of the connection that has `permit`.
-    pub fn new(stream: LingeringClose, permit: Arc<ConnectionPermit>, violations: Violations) -> Self {
-        Self { stream, permit, has_stopped_reading: false, has_client_closed: false, violations }
+    pub fn new(
+        stream: LingeringClose,
+        permit: Arc<ConnectionPermit>,
+        unanswered: Rc<UnansweredRequests>,
+    ) -> Self {
+        Self { stream, permit, has_stopped_reading: false, has_client_closed: false, unanswered }
     }
 
     /// Records an error of the connection.
@@ -88,8 +93,8 @@
 
 impl Drop for RequestActivity {
     fn drop(&mut self) {
-        if self.permit.has_unanswered_request() && !self.has_client_closed {
-            self.violations.record_unanswered_request();
+        if !self.has_client_closed {
+            self.unanswered.record_close(self.permit.stage());
         }
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -52,7 +52,7 @@
 use config::{Config, ConfigReadError};
 use environment::{Environment, LoopStart};
 use event_loop::{EventLoopError, HandoverState};
-use events::ListenerState;
+use events::{ListenerState, LoopEvent};
 pub use handover::HandoverError;
 use journal::JournalError;
 use metrics::Metrics;
@@ -135,7 +135,7 @@
         environment.accept_clients();
         takeover.confirm(&environment).await;
         let Some(handover) = event_loop.run(&mut received).await else {
-            shut_down(&environment, membership, clients).await;
+            shut_down(&environment, membership, clients, &mut received).await;
             return Ok(());
         };
         drop(platform_tasks);
@@ -160,7 +160,8 @@
 async fn shut_down(
     environment: &Environment,
     membership: Option<membership::Handle>,
-    clients: ClientListener,
+    mut clients: ClientListener,
+    received: &mut UnboundedReceiver<LoopEvent>,
 ) {
     if let Some(membership) = membership {
         membership.leave().await;
@@ -168,4 +169,12 @@
     // All requests received so far have a response.
     environment.listener_state.set(ListenerState::Closed);
     clients.finish().await;
+    let mut submissions = 0;
+    while let Ok(event) = received.try_recv() {
+        submissions += usize::from(matches!(event, LoopEvent::Submit { .. }));
+    }
+    environment.ports.log.line(&format!(
+        "shutdown: complete submissions_unprocessed={submissions} connections: {}",
+        clients.limits.stage_counts()
+    ));
 }
--- a/src/daemon/standby.rs
+++ b/src/daemon/standby.rs
@@ -93,7 +93,7 @@
             self.successor.forward_reload().await;
         }
         // The listening socket stays open until the server ends.
-        let ClientListener { listener: _listener, server } = clients;
+        let ClientListener { listener: _listener, server, .. } = clients;
         let mut server = pin!(server);
         loop {
             match wait(self.events, &self.metrics, server.as_mut()).await {
