Shutdown: answer requests that have begun to arrive before the event loop ends

Cause: the event loop ended once it had no calls and messages, without regard to connections whose request had begun to arrive. The process then waited up to 200 ms for them; a body that came in that time was submitted to a channel that nobody read and whose receiver still lived, so that the reply was neither sent nor dropped.

Change: when no work is left, or 0.5 s before the deadline of 3.4 s, the listener state becomes Closing: idle connections close, and the loop runs on until the last client connection has closed, for 0.5 s at most. After the loop has ended its channel is closed, so that a later submission is rejected with 503. A successor that asks while the listener closes is refused, as the accept loop has ended. Leaving the fleet no longer delays the last responses.

Why it works: a request that has begun to arrive keeps its connection open, an open connection keeps the loop running, and the loop replies to every submission; what comes after its deadline finds a closed channel.

--- a/src/daemon/event_loop/mod.rs
+++ b/src/daemon/event_loop/mod.rs
@@ -149,7 +149,7 @@
             }
             let now = Instant::now();
             self.run_due_work(now);
-            if self.is_shutdown_over(now) {
+            if self.advance_shutdown(now) {
                 self.log_shutdown(now);
                 return None;
             }
@@ -214,6 +214,7 @@
             LoopEvent::Shutdown(requested_at) => self.begin_shutdown(requested_at),
             LoopEvent::ReloadIfChanged(Ok(config)) if config.has_same_source(&self.configuration.config) => {}
             LoopEvent::Reload(config) | LoopEvent::ReloadIfChanged(config) => self.reload(config),
+            LoopEvent::ClientsClosed => self.lifecycle.clients_closed(),
             LoopEvent::Successor(successor) => self.request_handover(successor),
             LoopEvent::JournalSynced { file, result } => self.complete_sync(file, result),
             LoopEvent::Admin(request) => self.handle_admin_request(request),
--- a/src/daemon/event_loop/shutdown.rs
+++ b/src/daemon/event_loop/shutdown.rs
@@ -17,19 +17,70 @@
 /// The minimum time from SIGTERM to the end of the process. New clients may connect until 0.4 s after
 /// SIGTERM.
 const MIN_SHUTDOWN_DURATION: Duration = Duration::from_millis(600);
+/// How long a request that has begun to arrive is waited for once the listener is closing. Clients wait 400 ms
+/// for the response.
+const REQUEST_COMPLETION_TIMEOUT: Duration = Duration::from_millis(500);
 /// The maximum time from a successor's request to the handover. Calls that take longer are aborted.
 const HANDOVER_SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The time allowed for closing the connections of aborted calls. While a connection is open, its messages
 /// must not be sent again.
 const CONNECTION_CLOSE_DELAY: Duration = Duration::from_millis(10);
 
-/// The bounds of the end of a graceful shutdown.
+/// A graceful shutdown in progress.
 #[derive(Clone, Copy)]
-struct ShutdownDeadlines {
-    /// From this time on, the process ends as soon as no work is left.
+struct Shutdown {
+    /// From this time on, the listener closes as soon as no work is left.
     earliest: Instant,
-    /// At this time the process ends even if work is left.
+    /// At this time the loop ends even if work is left.
     latest: Instant,
+    phase: ShutdownPhase,
+}
+
+/// The phase of a graceful shutdown.
+#[derive(Clone, Copy)]
+enum ShutdownPhase {
+    /// Clients are still served, because they may use a connection until it is closed.
+    Draining,
+    /// The listener is closing, and requests that have begun to arrive are waited for until then.
+    Closing {
+        /// The latest time to which the loop waits for clients.
+        until: Instant,
+    },
+    /// The last client connection has closed.
+    ClientsClosed,
+}
+
+impl Shutdown {
+    /// Returns the next time at which the phase may change, or the shutdown may be over.
+    fn due(&self, now: Instant) -> Instant {
+        match self.phase {
+            ShutdownPhase::Draining if now < self.earliest => self.earliest,
+            ShutdownPhase::Draining => self.latest_closing(),
+            ShutdownPhase::Closing { until } if now < until => until,
+            ShutdownPhase::Closing { .. } | ShutdownPhase::ClientsClosed => self.latest,
+        }
+    }
+
+    /// Returns the time at which the listener closes even if work is left.
+    fn latest_closing(&self) -> Instant {
+        self.latest - REQUEST_COMPLETION_TIMEOUT
+    }
+
+    /// Returns whether the listener has to start closing at `now`.
+    fn must_close(&self, now: Instant, is_idle: bool) -> bool {
+        let is_draining = matches!(self.phase, ShutdownPhase::Draining);
+        is_draining && (now >= self.latest_closing() || now >= self.earliest && is_idle)
+    }
+
+    /// Returns whether the loop has to end at `now`.
+    fn is_over(&self, now: Instant, is_idle: bool) -> bool {
+        let has_clients = match self.phase {
+            ShutdownPhase::Draining => true,
+            ShutdownPhase::Closing { until } => now < until,
+            ShutdownPhase::ClientsClosed => false,
+        };
+        now >= self.latest || is_idle && !has_clients
+    }
 }
 
 /// A successor's request to take over.
@@ -42,7 +93,7 @@
 /// The shutdown or handover in progress, and the state of the listener.
 pub(super) struct Lifecycle {
     pub(super) listener: WatchCell<ListenerState>,
-    shutdown: Option<ShutdownDeadlines>,
+    shutdown: Option<Shutdown>,
     handover: Option<RequestedHandover>,
 }
 
@@ -57,19 +108,35 @@
         self.shutdown.is_some()
     }
 
+    /// Returns whether the listener closes because a shutdown is nearly over.
+    fn is_closing(&self) -> bool {
+        self.shutdown.is_some_and(|shutdown| !matches!(shutdown.phase, ShutdownPhase::Draining))
+    }
+
     /// Returns the next deadline of the shutdown or handover, or `None` if neither is in progress.
     pub(super) fn due(&self) -> Option<Instant> {
-        let shutdown = self.shutdown.map(|deadlines| {
-            if Instant::now() < deadlines.earliest { deadlines.earliest } else { deadlines.latest }
-        });
+        let shutdown = self.shutdown.map(|shutdown| shutdown.due(Instant::now()));
         let handover = self.handover.as_ref().map(|handover| handover.deadline);
         shutdown.into_iter().chain(handover).min()
     }
 
-    /// Returns whether a shutdown was requested and is complete at `now`.
-    fn is_shutdown_over(&self, now: Instant, is_idle: impl FnOnce() -> bool) -> bool {
-        self.shutdown
-            .is_some_and(|deadlines| now >= deadlines.earliest && (now >= deadlines.latest || is_idle()))
+    /// Records that the last client connection has closed after the listener began to close.
+    pub(super) fn clients_closed(&mut self) {
+        if let Some(shutdown) = &mut self.shutdown {
+            shutdown.phase = ShutdownPhase::ClientsClosed;
+        }
+    }
+
+    /// Starts to close the listener if the shutdown in progress is that far at `now`. Returns whether the
+    /// shutdown is over.
+    fn advance_shutdown(&mut self, now: Instant, is_idle: bool) -> bool {
+        let Some(shutdown) = &mut self.shutdown else { return false };
+        if shutdown.must_close(now, is_idle) {
+            let until = shutdown.latest.min(now + REQUEST_COMPLETION_TIMEOUT);
+            shutdown.phase = ShutdownPhase::Closing { until };
+            self.listener.set(ListenerState::Closing);
+        }
+        shutdown.is_over(now, is_idle)
     }
 
     /// Removes and returns the successor if the handover starts at `now`: its deadline has passed, or no call
@@ -101,25 +168,26 @@
         self.log(format_args!("shutdown: requested"));
         let earliest = requested_at + MIN_SHUTDOWN_DURATION;
         let latest = requested_at + SHUTDOWN_TIMEOUT;
-        self.lifecycle.shutdown = Some(ShutdownDeadlines { earliest, latest });
+        self.lifecycle.shutdown = Some(Shutdown { earliest, latest, phase: ShutdownPhase::Draining });
         self.lifecycle.listener.set(ListenerState::Draining);
         self.queue.push(self.clock.now(), Event::Shutdown(self.clock.timestamp(latest)));
     }
 
-    /// Returns whether the shutdown is complete. The listener serves until the process ends, because clients
-    /// may use a connection until it is closed.
-    pub(super) fn is_shutdown_over(&self, now: Instant) -> bool {
-        self.lifecycle.is_shutdown_over(now, || {
+    /// Advances the shutdown in progress, if there is one. Returns whether it is over: no work is left, and
+    /// every request that has begun to arrive is answered, or its deadline has come.
+    pub(super) fn advance_shutdown(&mut self, now: Instant) -> bool {
+        self.lifecycle.is_shutting_down() && {
             let has_messages = self.messages.journal.pending().next().is_some();
-            self.calls.is_empty() && !has_messages && !self.has_deferred_effects()
-        })
+            let is_idle = self.calls.is_empty() && !has_messages && !self.has_deferred_effects();
+            self.lifecycle.advance_shutdown(now, is_idle)
+        }
     }
 
     /// Logs why the loop ends at `now`, and what it leaves to the next process.
     pub(super) fn log_shutdown(&self, now: Instant) {
-        let Some(deadlines) = self.lifecycle.shutdown else { return };
-        let reason = if now >= deadlines.latest { "deadline" } else { "idle" };
-        let elapsed = now + SHUTDOWN_TIMEOUT - deadlines.latest;
+        let Some(Shutdown { latest, .. }) = self.lifecycle.shutdown else { return };
+        let reason = if now >= latest { "deadline" } else { "idle" };
+        let elapsed = now + SHUTDOWN_TIMEOUT - latest;
         self.log(format_args!(
             "shutdown: event loop ended reason={reason} after_ms={} messages={} calls={}",
             elapsed.as_millis(),
@@ -134,6 +202,10 @@
         if self.lifecycle.handover.is_some() {
             return;
         }
+        if self.lifecycle.is_closing() {
+            self.log(format_args!("handover: refused, this process is exiting"));
+            return;
+        }
         if self.messages.journal.lacks_records() {
             // The successor would recover from an incomplete journal.
             self.log(format_args!("handover: refused, the journal lacks records"));
@@ -188,6 +260,7 @@
                 | LoopEvent::Connected(_)
                 | LoopEvent::ConfirmCall { .. }
                 | LoopEvent::ConnectionIdle { .. }
+                | LoopEvent::ClientsClosed
                 | LoopEvent::Successor(_) => {}
                 // The event loop no longer uses the synced file.
                 LoopEvent::JournalSynced { .. } => {}
--- a/src/daemon/events.rs
+++ b/src/daemon/events.rs
@@ -108,6 +108,8 @@
     },
     /// A request of an operator or a peer.
     Admin(AdminRequest),
+    /// In [`ListenerState::Closing`], the last client connection has closed.
+    ClientsClosed,
     /// A successor asks to take over.
     Successor(Successor),
 }
@@ -206,6 +208,9 @@
     /// Each connection is closed after its next response, so that the client connects elsewhere. New
     /// connections are still accepted.
     Draining,
-    /// The process is about to exit. No new connections are accepted, and idle ones are closed.
+    /// The shutdown has no other work left, or its deadline is near. Idle connections are closed. Requests
+    /// that have begun to arrive are still answered.
+    Closing,
+    /// The event loop has ended, and the process is about to exit.
     Closed,
 }
--- a/src/daemon/ingress/mod.rs
+++ b/src/daemon/ingress/mod.rs
@@ -81,6 +81,10 @@
     let state = &context.state;
     let (started_at, mut log_limit) = (Instant::now(), ErrorLogLimit::default());
     let has_stopped = |state| matches!(state, ListenerState::Closed | ListenerState::HandedOver);
+    let all_closed = async || {
+        state.wait_for(|state| state == ListenerState::Closing).await;
+        limits.all_closed().await;
+    };
     loop {
         let accepted = tokio::select! {
             biased;
@@ -92,6 +96,7 @@
                 continue;
             }
             accepted = listener.accept() => accepted,
+            () = all_closed() => break,
         };
         match accepted {
             Ok(stream) => {
@@ -108,6 +113,9 @@
     }
     drop(listener);
     limits.all_closed().await;
+    if state.get() == ListenerState::Closing {
+        let _ = context.events.send(LoopEvent::ClientsClosed);
+    }
 }
 
 /// Waits as long as the failure requires before the next accept, and closes an idle connection if descriptors
@@ -148,7 +156,8 @@
         // `RequestActivity` ends the stream before the next request. A request that has begun to arrive is
         // still answered.
         () = permit.close_signal.requested() => {}
-        () = context.state.wait_for(|state| state == ListenerState::Closed) => connection.as_mut().graceful_shutdown(),
+        () = context.state.wait_for(|state| matches!(state, ListenerState::Closing | ListenerState::Closed)) =>
+            connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -135,7 +135,7 @@
         environment.accept_clients();
         takeover.confirm(&environment).await;
         let Some(handover) = event_loop.run(&mut received).await else {
-            shut_down(&environment, membership, clients, &mut received).await;
+            shut_down(&environment, membership, clients, received).await;
             return Ok(());
         };
         drop(platform_tasks);
@@ -156,25 +156,34 @@
     }
 }
 
+/// Closes the channel to the event loop, and drops the events in it. Returns the number of submissions.
+fn drop_events(received: &mut UnboundedReceiver<LoopEvent>) -> usize {
+    received.close();
+    let mut submissions = 0;
+    while let Ok(event) = received.try_recv() {
+        submissions += usize::from(matches!(event, LoopEvent::Submit { .. }));
+    }
+    submissions
+}
+
 /// Leaves the fleet, and waits until the last responses to clients are written.
 async fn shut_down(
     environment: &Environment,
     membership: Option<membership::Handle>,
     mut clients: ClientListener,
-    received: &mut UnboundedReceiver<LoopEvent>,
+    mut received: UnboundedReceiver<LoopEvent>,
 ) {
-    if let Some(membership) = membership {
-        membership.leave().await;
-    }
-    // All requests received so far have a response.
     environment.listener_state.set(ListenerState::Closed);
-    clients.finish().await;
-    let mut submissions = 0;
-    while let Ok(event) = received.try_recv() {
-        submissions += usize::from(matches!(event, LoopEvent::Submit { .. }));
-    }
+    // Nobody processes further events: their reply channels are closed, so that their requests are rejected.
+    let submissions = drop_events(&mut received);
+    let leave = async {
+        if let Some(membership) = membership {
+            membership.leave().await;
+        }
+    };
+    tokio::join!(leave, clients.finish());
     environment.ports.log.line(&format!(
-        "shutdown: complete submissions_unprocessed={submissions} connections: {}",
+        "shutdown: complete submissions_dropped={submissions} connections: {}",
         clients.limits.stage_counts()
     ));
 }
--- a/tests/sockets/handover.rs
+++ b/tests/sockets/handover.rs
@@ -163,7 +163,7 @@
 }
 
 /// Plays a new process that has received the start of the handover payload and has not confirmed it.
-async fn take_over_unconfirmed(node: &Node) -> UnixStream {
+pub async fn take_over_unconfirmed(node: &Node) -> UnixStream {
     let mut new_process = connect_to_handover(node).await;
     new_process.write_all(b"micadrum handover 2").await.unwrap();
     timeout(TEST_TIMEOUT, new_process.read_exact(&mut [0; 8]))
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -19,4 +19,5 @@
 mod signals;
 mod startup;
 mod system_calls;
+mod unanswered_requests;
 mod watch;
--- /dev/null
+++ b/tests/sockets/unanswered_requests.rs
@@ -0,0 +1,100 @@
+//! Requests that have begun to arrive when the process, the listener or the connection ends. Each of them gets
+//! a response.
+use super::harness::*;
+use super::raw_connections::*;
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+/// The time from SIGTERM to SIGKILL by the platform, within which the process must exit.
+const KILL_DELAY: Duration = Duration::from_millis(3_700);
+/// The time after SIGTERM from which on the process exits as soon as no work is left, and some more.
+const MIN_SHUTDOWN_DURATION: Duration = Duration::from_millis(700);
+/// Returns the number of bytes of a request up to the first byte of its body.
+fn body_part(request: &str) -> usize {
+    request.find("\r\n\r\n").unwrap() + 5
+}
+
+/// A sender in a graceful shutdown that ends as soon as its last call ends.
+struct Shutdown {
+    node: Node,
+    endpoint: TestServer,
+    last_call: Call,
+    requested_at: Instant,
+}
+
+impl Shutdown {
+    /// Sends SIGTERM to a sender with a call in flight. `clients` may connect before that.
+    async fn begin(clients: &mut [RawClient]) -> Self {
+        let (mut endpoint, platform) = (TestServer::start().await, Platform::start().await);
+        let long_aim =
+            |config: &mut serde_json::Value| config["settings"]["lanes"][0]["aim"] = json!(10_000_000);
+        let entry = endpoint_entry("s-1", endpoint.address, "single", "SERVING");
+        let node = Node::start_with(&platform, &[entry], long_aim).await;
+        for client in clients.iter_mut() {
+            *client = RawClient::connect(node.address).await;
+            client.send("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await;
+            assert_eq!(client.response().await.unwrap().status(), 200);
+        }
+        assert_eq!(node.submit("open", "unsafe", "").await.status(), 202);
+        let last_call = endpoint.next_call().await;
+        let requested_at = Instant::now();
+        node.terminate();
+        wait_until_not_ready(&node).await;
+        Self { node, endpoint, last_call, requested_at }
+    }
+
+    /// Ends the last call, and returns once the sender closes its idle connections.
+    async fn end_last_call(self) -> (Node, TestServer) {
+        let mut idle_client = RawClient::connect(self.node.address).await;
+        self.last_call.ok();
+        assert_eq!(idle_client.read_until_close().await, "");
+        (self.node, self.endpoint)
+    }
+}
+
+async fn wait_until_not_ready(node: &Node) {
+    while node.request("GET /-/ready", "", b"").await.status() == 200 {}
+}
+
+/// Sends the first part of a request, and returns once the sender has read it.
+async fn send_part(node: &Node, client: &mut RawClient, part: &str) {
+    client.send(part).await;
+    // The sender reads its connections in the order in which bytes arrive.
+    node.request("GET /-/ready", "", b"").await;
+}
+
+/// Checks that a request whose first `part` bytes arrive before the last work of a shutdown ends, and whose
+/// other bytes arrive afterwards, gets a response, and that its message is sent only if it is accepted.
+async fn check_request_across_the_end(mut client: Option<RawClient>, shutdown: Shutdown, part: usize) {
+    let request = RawClient::request_text("late", "keyed", "");
+    tokio::time::sleep(MIN_SHUTDOWN_DURATION.saturating_sub(shutdown.requested_at.elapsed())).await;
+    let mut client = match client.take() {
+        Some(client) => client,
+        None => RawClient::connect(shutdown.node.address).await,
+    };
+    send_part(&shutdown.node, &mut client, &request[..part]).await;
+    let requested_at = shutdown.requested_at;
+    let (mut node, mut endpoint) = shutdown.end_last_call().await;
+    client.send(&request[part..]).await;
+    let response = client.response().await.expect("the connection ended without a response");
+    assert!([202, 503].contains(&response.status()), "{}", response.start_line);
+    assert_eq!(response.header("connection"), Some("close"));
+    if response.status() == 202 {
+        let call = endpoint.next_call().await;
+        assert_eq!(call.id(), "late");
+        call.ok();
+    }
+    drop(client);
+    assert!(node.exits_successfully().await);
+    assert!(requested_at.elapsed() < KILL_DELAY, "{:?}", requested_at.elapsed());
+    assert!(endpoint.is_idle_for(Duration::from_millis(20)).await, "a rejected message was sent");
+}
+
+/// Guards against a request without a response because its body arrives when the shutdown has no other work
+/// left.
+#[tokio::test]
+async fn a_body_that_arrives_when_a_shutdown_ends_is_answered() {
+    let request = RawClient::request_text("late", "keyed", "");
+    let shutdown = Shutdown::begin(&mut []).await;
+    check_request_across_the_end(None, shutdown, body_part(&request)).await;
+}
