Shutdown: keep a used connection open while the head of its next request arrives

What callers saw: at the end of a shutdown a kept connection closed with no answer although a part of the next request's head had been read; the rest of the request met a closed connection.

Cause: the listener closed connections with hyper's graceful_shutdown, which takes a connection for idle from a response until the next head is complete. It also read and discarded what came after the close.

Change: when the listener closes, a connection gets the same close signal as one that makes room for others: it ends only if no byte of a request was read and none is unread.

--- a/src/daemon/ingress/connection_limits.rs
+++ b/src/daemon/ingress/connection_limits.rs
@@ -53,7 +53,8 @@
 }
 
 impl CloseSignal {
-    fn request(&self) {
+    /// Asks the connection to close as soon as no request has begun to arrive on it.
+    pub fn request(&self) {
         self.is_requested.store(true, Ordering::Relaxed);
         self.requested.notify_one();
     }
--- a/src/daemon/ingress/mod.rs
+++ b/src/daemon/ingress/mod.rs
@@ -118,6 +118,11 @@
     }
 }
 
+/// Returns whether connections are closed as soon as no request has begun to arrive on them.
+fn is_ending(state: ListenerState) -> bool {
+    matches!(state, ListenerState::Closing | ListenerState::Closed)
+}
+
 /// Waits as long as the failure requires before the next accept, and closes an idle connection if descriptors
 /// ran out.
 async fn recover_from(failure: AcceptFailure, limits: &ConnectionLimits) {
@@ -156,8 +161,7 @@
         // `RequestActivity` ends the stream before the next request. A request that has begun to arrive is
         // still answered.
         () = permit.close_signal.requested() => {}
-        () = context.state.wait_for(|state| matches!(state, ListenerState::Closing | ListenerState::Closed)) =>
-            connection.as_mut().graceful_shutdown(),
+        () = context.state.wait_for(is_ending) => permit.close_signal.request(),
     }
     let _ = connection.await;
 }
--- a/tests/sockets/unanswered_requests.rs
+++ b/tests/sockets/unanswered_requests.rs
@@ -9,6 +9,9 @@
 const KILL_DELAY: Duration = Duration::from_millis(3_700);
 /// The time after SIGTERM from which on the process exits as soon as no work is left, and some more.
 const MIN_SHUTDOWN_DURATION: Duration = Duration::from_millis(700);
+/// The number of bytes of a request that end within its head.
+const HEAD_PART: usize = 40;
+
 /// Returns the number of bytes of a request up to the first byte of its body.
 fn body_part(request: &str) -> usize {
     request.find("\r\n\r\n").unwrap() + 5
@@ -98,3 +101,14 @@
     let shutdown = Shutdown::begin(&mut []).await;
     check_request_across_the_end(None, shutdown, body_part(&request)).await;
 }
+
+/// Guards against a request without a response because its connection carried a response before, and is taken
+/// for idle at the end of a shutdown although a part of the next head was read.
+#[tokio::test]
+async fn a_head_that_arrives_on_a_used_connection_when_a_shutdown_ends_is_answered() {
+    let platform = Platform::start().await;
+    let placeholder = RawClient::connect(platform.address).await;
+    let mut clients = vec![placeholder];
+    let shutdown = Shutdown::begin(&mut clients).await;
+    check_request_across_the_end(clients.pop(), shutdown, HEAD_PART).await;
+}
