Clients: answer a request whose head does not arrive in time

What callers saw: a connection on which a part of a head had been read was closed with no answer 2.1 s after the response before it, also if the head had begun only milliseconds earlier.

Cause: hyper's header_read_timeout counts from the end of the last request, idle time included, and closes the connection without a response.

Change: a module of its own serves a connection and keeps the time limits itself: an idle connection ends as if it made room for others, so that no byte of a request is read and dropped; a head gets 2.1 s from the last response, but at least 0.3 s from its first byte, and is answered with 408. A client that stops in its head is answered within 2.4 s, in its body within 2.9 s; 3 s are owed.

--- a/src/daemon/client_listener.rs
+++ b/src/daemon/client_listener.rs
@@ -1,7 +1,10 @@
 //! The listening socket for clients, and the task that serves it.
 use super::environment::{BoundListener, Environment};
 use super::events::LoopEvent;
-use super::ingress::{self, ConnectionLimits, IngressContext, MIN_UNSERVED_AGE, UnansweredRequests};
+use super::ingress::{
+    self, ConnectionLimits, ConnectionSettings, HEAD_TIMEOUT, IngressContext, MAX_HEAD_BYTES,
+    MIN_UNSERVED_AGE, UnansweredRequests,
+};
 use super::ports::Listener;
 use super::{StartError, handover};
 use std::net::SocketAddr;
@@ -56,12 +59,19 @@
 fn ingress_context(environment: &Environment, address: SocketAddr) -> IngressContext {
     let (log, listener) = (environment.ports.log.clone(), environment.listener_state.clone());
     let unanswered = UnansweredRequests::new(log, listener, environment.violations.clone());
+    let connections = ConnectionSettings {
+        head_timeout: HEAD_TIMEOUT,
+        max_head_bytes: MAX_HEAD_BYTES,
+        keep_alive: true,
+        state: environment.listener_state.clone(),
+        unanswered: Rc::new(unanswered),
+    };
     IngressContext {
         events: environment.events.clone(),
         state: environment.listener_state.clone(),
         network: environment.ports.network.clone(),
         address,
-        unanswered: Rc::new(unanswered),
+        connections,
     }
 }
 
--- a/src/daemon/ingress/connection_limits.rs
+++ b/src/daemon/ingress/connection_limits.rs
@@ -147,6 +147,9 @@
 /// The state of an open connection.
 struct ConnectionState {
     stage: RequestStage,
+    stage_since: Instant,
+    /// When the connection was opened, or became idle for the last time.
+    idle_since: Instant,
     /// The key in the order of closing, or `None` while the connection is busy.
     close_order: Option<CloseOrder>,
 }
@@ -154,7 +157,9 @@
 impl ConnectionPermit {
     fn new(limits: Arc<ConnectionLimits>, permit: OwnedSemaphorePermit) -> Self {
         limits.stages().add(RequestStage::Idle);
-        let state = ConnectionState { stage: RequestStage::Idle, close_order: None };
+        let now = Instant::now();
+        let stage = RequestStage::Idle;
+        let state = ConnectionState { stage, stage_since: now, idle_since: now, close_order: None };
         let permit = Self { limits, close_signal: Arc::default(), state: Mutex::new(state), _permit: permit };
         permit.enter_idle(true);
         permit
@@ -165,6 +170,16 @@
         self.state().stage
     }
 
+    /// Returns when the connection came to its stage.
+    pub fn stage_since(&self) -> Instant {
+        self.state().stage_since
+    }
+
+    /// Returns when the connection was opened, or became idle for the last time.
+    pub fn idle_since(&self) -> Instant {
+        self.state().idle_since
+    }
+
     /// Records that a request has begun to arrive: the connection is busy until its response is flushed.
     pub fn set_busy(&self) {
         self.leave_idle();
@@ -203,7 +218,11 @@
     }
 
     fn set_stage(&self, stage: RequestStage) {
-        let previous = std::mem::replace(&mut self.state().stage, stage);
+        let previous = {
+            let mut state = self.state();
+            state.stage_since = Instant::now();
+            std::mem::replace(&mut state.stage, stage)
+        };
         let mut counts = self.limits.stages();
         counts.remove(previous);
         counts.add(stage);
@@ -213,9 +232,12 @@
         let mut idle = self.limits.idle();
         let order = CloseOrder { is_unserved, number: idle.next_number };
         idle.next_number += 1;
-        let connection = IdleConnection { since: Instant::now(), close_signal: self.close_signal.clone() };
+        let since = Instant::now();
+        let connection = IdleConnection { since, close_signal: self.close_signal.clone() };
         idle.by_close_order.insert(order, connection);
-        self.state().close_order = Some(order);
+        let mut state = self.state();
+        state.close_order = Some(order);
+        state.idle_since = since;
     }
 
     fn leave_idle(&self) {
--- /dev/null
+++ b/src/daemon/ingress/http_connection.rs
@@ -0,0 +1,139 @@
+//! Serves HTTP/1.1 on one connection. A request that has begun to arrive gets a response, whatever ends the
+//! connection: a final one is written here if hyper cannot respond.
+use super::connection_limits::ConnectionPermit;
+use super::lingering_close::LingeringClose;
+use super::request_activity::RequestActivity;
+use super::request_stage::RequestStage;
+use super::unanswered_requests::UnansweredRequests;
+use crate::daemon::events::ListenerState;
+use crate::daemon::ports::Stream;
+use crate::daemon::watch_cell::WatchCell;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::time::{Instant, sleep_until};
+
+/// The time for which a request head is waited for after its first byte, even if the connection was idle for
+/// long before.
+const MIN_HEAD_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How the connections of a listener are served.
+pub struct ConnectionSettings {
+    /// Time limit for receiving a request head, from the last response. It also closes connections on which no
+    /// request arrives.
+    pub head_timeout: Duration,
+    /// Upper bound on the size of a request head.
+    pub max_head_bytes: usize,
+    /// Whether a connection can carry more than one request.
+    pub keep_alive: bool,
+    /// The state of the listener for clients, which tells when connections have to close.
+    pub state: WatchCell<ListenerState>,
+    /// Reports connections that are closed before a request on them is answered.
+    pub unanswered: Rc<UnansweredRequests>,
+}
+
+/// Why this process stopped serving a connection.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// The protocol ended it: after a response, by the client, or by an error of the connection.
+    Protocol,
+    /// A request head did not arrive completely in time.
+    HeadTimedOut,
+}
+
+/// Serves a connection until it closes. `respond` creates the response to each request.
+pub async fn serve<R: Future<Output = Response<Full<Bytes>>>>(
+    stream: Box<dyn Stream>,
+    permit: Arc<ConnectionPermit>,
+    settings: &ConnectionSettings,
+    respond: impl Fn(Request<Incoming>) -> R,
+) {
+    let stream =
+        RequestActivity::new(LingeringClose::new(stream), permit.clone(), settings.unanswered.clone());
+    let service = service_fn(|request| {
+        let response = respond(request);
+        Box::pin(async move { Ok::<_, Infallible>(response.await) })
+    });
+    let mut connection = http1::Builder::new()
+        .max_buf_size(settings.max_head_bytes)
+        .keep_alive(settings.keep_alive)
+        // A client may close its sending side after the request and still wait for the response.
+        .half_close(true)
+        .serve_connection(TokioIo::new(stream), service);
+    let end = {
+        let served = pin!(poll_fn(|cx| connection.poll_without_shutdown(cx)));
+        run(served, &permit, settings).await
+    };
+    let mut stream = connection.into_parts().io.into_inner();
+    if let Some(status) = final_status(end, permit.stage()) {
+        let _ = stream.write_final_response(status).await;
+    }
+    let _ = stream.shutdown().await;
+}
+
+/// Drives a connection until it ends.
+async fn run(
+    mut served: Pin<&mut impl Future<Output = hyper::Result<()>>>,
+    permit: &ConnectionPermit,
+    settings: &ConnectionSettings,
+) -> ConnectionEnd {
+    let must_close = |state| matches!(state, ListenerState::Closing | ListenerState::Closed);
+    tokio::select! {
+        biased;
+        // An error is ignored: the connection has failed, or hyper has responded to a malformed head.
+        _ = served.as_mut() => return ConnectionEnd::Protocol,
+        () = permit.close_signal.requested() => {}
+        () = settings.state.wait_for(must_close) => permit.close_signal.request(),
+        stage = timed_out(permit, settings.head_timeout) => match stage {
+            RequestStage::Head => return ConnectionEnd::HeadTimedOut,
+            _ => permit.close_signal.request(),
+        },
+    }
+    // `RequestActivity` ends the stream before the next request. A request that has begun to arrive is still
+    // answered.
+    tokio::select! {
+        biased;
+        _ = served => ConnectionEnd::Protocol,
+        _ = timed_out(permit, settings.head_timeout) => ConnectionEnd::HeadTimedOut,
+    }
+}
+
+/// Waits until no complete request head has arrived for `timeout` after the last response, and at least
+/// [`MIN_HEAD_TIMEOUT`] after the first byte of a head. Returns the stage of the connection.
+async fn timed_out(permit: &ConnectionPermit, timeout: Duration) -> RequestStage {
+    loop {
+        let stage = permit.stage();
+        let deadline = match stage {
+            RequestStage::Idle => permit.idle_since() + timeout,
+            RequestStage::Head => {
+                (permit.idle_since() + timeout).max(permit.stage_since() + MIN_HEAD_TIMEOUT)
+            }
+            // The next head is waited for from the response on.
+            _ => Instant::now() + timeout,
+        };
+        if deadline <= Instant::now() {
+            return stage;
+        }
+        sleep_until(deadline).await;
+    }
+}
+
+/// Returns the status of the response that a request still needs at the end of its connection, or `None` if
+/// there is no such request.
+fn final_status(end: ConnectionEnd, stage: RequestStage) -> Option<StatusCode> {
+    (end == ConnectionEnd::HeadTimedOut && stage == RequestStage::Head).then_some(StatusCode::REQUEST_TIMEOUT)
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/daemon/ingress/mod.rs
+++ b/src/daemon/ingress/mod.rs
@@ -4,6 +4,7 @@
 //! to which the request is forwarded during a handover.
 mod connection_limits;
 mod forwarding;
+mod http_connection;
 mod lingering_close;
 mod request_activity;
 mod request_stage;
@@ -19,14 +20,11 @@
 pub use connection_limits::{ConnectionLimits, ConnectionPermit};
 use forwarding::{ForwardedRequest, forward};
 use http_body_util::Full;
+pub use http_connection::ConnectionSettings;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 pub use lingering_close::LingeringClose;
-use request_activity::RequestActivity;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -41,10 +39,10 @@
 
 /// Upper bound on the size of a request head. Stored header values are limited to 1 KiB each, and there are
 /// few.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
+pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Time limit for receiving a request head. It also closes connections on which no request arrives, and must
 /// not be below 2 s, as clients keep connections open between requests.
-const HEAD_TIMEOUT: Duration = Duration::from_millis(2100);
+pub const HEAD_TIMEOUT: Duration = Duration::from_millis(2100);
 /// Time limit for receiving a request body. Clients wait 400 ms for the response, so a slower client has
 /// timed out.
 const BODY_TIMEOUT: Duration = Duration::from_millis(500);
@@ -65,8 +63,8 @@
     pub network: Rc<dyn Network>,
     /// The address that clients connect to. After a handover, the successor listens there.
     pub address: SocketAddr,
-    /// Reports connections that are closed before a request on them is answered.
-    pub unanswered: Rc<UnansweredRequests>,
+    /// How the connections are served.
+    pub connections: ConnectionSettings,
 }
 
 /// Serves clients until the listener is closed or handed over and every request that was read has been
@@ -118,11 +116,6 @@
     }
 }
 
-/// Returns whether connections are closed as soon as no request has begun to arrive on them.
-fn is_ending(state: ListenerState) -> bool {
-    matches!(state, ListenerState::Closing | ListenerState::Closed)
-}
-
 /// Waits as long as the failure requires before the next accept, and closes an idle connection if descriptors
 /// ran out.
 async fn recover_from(failure: AcceptFailure, limits: &ConnectionLimits) {
@@ -140,30 +133,11 @@
     permit: Arc<ConnectionPermit>,
     context: Rc<IngressContext>,
 ) {
-    let stream =
-        RequestActivity::new(LingeringClose::new(stream), permit.clone(), context.unanswered.clone());
-    let service = service_fn(|request| {
+    let respond = |request| {
         let (permit, context) = (permit.clone(), context.clone());
-        async move { Ok::<_, Infallible>(respond(request, &permit, &context).await) }
-    });
-    let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES)
-        // A client may close its sending side after the request and still wait for the response.
-        .half_close(true)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    // An error is ignored: the connection has failed, and the client can receive no response.
-    tokio::select! {
-        biased;
-        _ = connection.as_mut() => return,
-        // `RequestActivity` ends the stream before the next request. A request that has begun to arrive is
-        // still answered.
-        () = permit.close_signal.requested() => {}
-        () = context.state.wait_for(is_ending) => permit.close_signal.request(),
-    }
-    let _ = connection.await;
+        async move { respond(request, &permit, &context).await }
+    };
+    http_connection::serve(stream, permit.clone(), &context.connections, respond).await;
 }
 
 async fn respond(
--- a/src/daemon/ingress/request_activity.rs
+++ b/src/daemon/ingress/request_activity.rs
@@ -2,13 +2,15 @@
 //! flushed.
 use super::ConnectionPermit;
 use super::lingering_close::LingeringClose;
+use super::request_stage::RequestStage;
 use super::unanswered_requests::UnansweredRequests;
+use hyper::StatusCode;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 
 /// A client's stream that records request activity in the connection's permit. It reports the end of the
 /// stream to close the connection for another one, but never after a byte of a request was read, because that
@@ -33,6 +35,20 @@
         Self { stream, permit, has_stopped_reading: false, has_client_closed: false, unanswered }
     }
 
+    /// Writes the last response on the connection, to a request that has not arrived completely. Nothing of it
+    /// is accepted, so the client may send it again.
+    ///
+    /// # Errors
+    /// The connection has failed.
+    pub async fn write_final_response(&mut self, status: StatusCode) -> io::Result<()> {
+        self.permit.set_responded();
+        // The client may still be sending, so its input is discarded after the response.
+        self.has_stopped_reading = false;
+        let response = format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
+        self.write_all(response.as_bytes()).await?;
+        self.flush().await
+    }
+
     /// Records an error of the connection.
     fn record_error<T>(&mut self, outcome: io::Result<T>) -> io::Result<T> {
         self.has_client_closed |= outcome.is_err();
@@ -71,6 +87,10 @@
 
 impl AsyncWrite for RequestActivity {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if self.permit.stage() == RequestStage::Head {
+            // hyper responds by itself to a head that it cannot parse.
+            self.permit.set_responded();
+        }
         let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf));
         Poll::Ready(self.record_error(written))
     }
--- a/tests/sockets/unanswered_requests.rs
+++ b/tests/sockets/unanswered_requests.rs
@@ -112,3 +112,17 @@
     let shutdown = Shutdown::begin(&mut clients).await;
     check_request_across_the_end(clients.pop(), shutdown, HEAD_PART).await;
 }
+
+/// Guards against a connection that is closed without a response because the head of its request does not
+/// arrive completely in time.
+#[tokio::test]
+async fn an_incomplete_head_is_answered_when_it_times_out() {
+    let platform = Platform::start().await;
+    let node = Node::start(&platform, &[]).await;
+    let connected_at = Instant::now();
+    let mut client = RawClient::connect(node.address).await;
+    client.send(&RawClient::request_text("half", "keyed", "")[..HEAD_PART]).await;
+    let received = client.read_until_close().await;
+    assert!(received.starts_with("HTTP/1.1 408"), "{received:?}");
+    assert!(connected_at.elapsed() < Duration::from_secs(3), "{:?}", connected_at.elapsed());
+}
