Shutdown: answer requests that are incomplete when the process exits

What callers saw: at the deadline of a shutdown (3.4 s after SIGTERM, calls still out) a connection on which a part of a request had been read ended with the process and no answer.

Cause: nobody told such connections that the process exits; the last 200 ms were only waited for.

Change: once the event loop has ended, a request that has not arrived completely is answered with 503: nothing of it is accepted. One that was read completely gets the reply of the event loop, or 503 because its channel is closed.

--- a/src/daemon/ingress/http_connection.rs
+++ b/src/daemon/ingress/http_connection.rs
@@ -50,6 +50,8 @@
     Protocol,
     /// A request head did not arrive completely in time.
     HeadTimedOut,
+    /// The process exits.
+    Exit,
 }
 
 /// Serves a connection until it closes. `respond` creates the response to each request.
@@ -89,6 +91,7 @@
     settings: &ConnectionSettings,
 ) -> ConnectionEnd {
     let must_close = |state| matches!(state, ListenerState::Closing | ListenerState::Closed);
+    let must_end = |state| state == ListenerState::Closed;
     tokio::select! {
         biased;
         // An error is ignored: the connection has failed, or hyper has responded to a malformed head.
@@ -104,9 +107,15 @@
     // answered.
     tokio::select! {
         biased;
-        _ = served => ConnectionEnd::Protocol,
-        _ = timed_out(permit, settings.head_timeout) => ConnectionEnd::HeadTimedOut,
+        _ = served.as_mut() => return ConnectionEnd::Protocol,
+        _ = timed_out(permit, settings.head_timeout) => return ConnectionEnd::HeadTimedOut,
+        () = settings.state.wait_for(must_end) => {}
+    }
+    if matches!(permit.stage(), RequestStage::Processing | RequestStage::Responding) {
+        // The event loop has replied, or has closed the reply channel.
+        let _ = served.await;
     }
+    ConnectionEnd::Exit
 }
 
 /// Waits until no complete request head has arrived for `timeout` after the last response, and at least
@@ -132,7 +141,14 @@
 /// Returns the status of the response that a request still needs at the end of its connection, or `None` if
 /// there is no such request.
 fn final_status(end: ConnectionEnd, stage: RequestStage) -> Option<StatusCode> {
-    (end == ConnectionEnd::HeadTimedOut && stage == RequestStage::Head).then_some(StatusCode::REQUEST_TIMEOUT)
+    match (end, stage) {
+        (ConnectionEnd::HeadTimedOut, RequestStage::Head) => Some(StatusCode::REQUEST_TIMEOUT),
+        // Nothing of the request is accepted, so the client may send it again.
+        (ConnectionEnd::Exit, RequestStage::Head | RequestStage::Body) => {
+            Some(StatusCode::SERVICE_UNAVAILABLE)
+        }
+        _ => None,
+    }
 }
 
 #[cfg(test)]
--- a/tests/sockets/unanswered_requests.rs
+++ b/tests/sockets/unanswered_requests.rs
@@ -113,6 +113,22 @@
     check_request_across_the_end(clients.pop(), shutdown, HEAD_PART).await;
 }
 
+/// Guards against a connection that is closed without a response at the latest end of a shutdown, because the
+/// head of its request is still incomplete.
+#[tokio::test]
+async fn an_incomplete_head_at_the_deadline_of_a_shutdown_is_answered() {
+    let shutdown = Shutdown::begin(&mut []).await;
+    let request = RawClient::request_text("late", "keyed", "");
+    tokio::time::sleep(Duration::from_secs(2).saturating_sub(shutdown.requested_at.elapsed())).await;
+    let mut client = RawClient::connect(shutdown.node.address).await;
+    send_part(&shutdown.node, &mut client, &request[..HEAD_PART]).await;
+    let received = client.read_until_close().await;
+    assert!(received.starts_with("HTTP/1.1 503"), "{received:?}");
+    let Shutdown { mut node, requested_at, .. } = shutdown;
+    assert!(node.exits_successfully().await);
+    assert!(requested_at.elapsed() < KILL_DELAY, "{:?}", requested_at.elapsed());
+}
+
 /// Guards against a connection that is closed without a response because the head of its request does not
 /// arrive completely in time.
 #[tokio::test]
