Clients: answer a pipelined request whose connection is closed for another one

What callers saw: a client that writes a request and the first bytes of the next one together got the first response; when its connection then made room for others, it was closed with no answer to the second one.

Cause: those bytes were read with the first request and lie in hyper's buffer, so that the permit took the connection for idle; only the socket was checked for unread input.

Change: if the input was ended by this process and unparsed bytes are left, the connection ends with 503.

--- a/src/daemon/ingress/http_connection.rs
+++ b/src/daemon/ingress/http_connection.rs
@@ -77,8 +77,12 @@
         let served = pin!(poll_fn(|cx| connection.poll_without_shutdown(cx)));
         run(served, &permit, settings).await
     };
-    let mut stream = connection.into_parts().io.into_inner();
-    if let Some(status) = final_status(end, permit.stage()) {
+    let http1::Parts { io, read_buf, .. } = connection.into_parts();
+    let mut stream = io.into_inner();
+    // The first bytes of a request may have been read together with the request before it.
+    let is_interrupted = end == ConnectionEnd::Exit || stream.has_stopped_reading();
+    let has_unparsed_request = is_interrupted && !read_buf.is_empty();
+    if let Some(status) = final_status(end, permit.stage(), has_unparsed_request) {
         let _ = stream.write_final_response(status).await;
     }
     let _ = stream.shutdown().await;
@@ -111,11 +115,14 @@
         _ = timed_out(permit, settings.head_timeout) => return ConnectionEnd::HeadTimedOut,
         () = settings.state.wait_for(must_end) => {}
     }
-    if matches!(permit.stage(), RequestStage::Processing | RequestStage::Responding) {
-        // The event loop has replied, or has closed the reply channel.
-        let _ = served.await;
+    match permit.stage() {
+        RequestStage::Processing | RequestStage::Responding => {
+            // The event loop has replied, or has closed the reply channel.
+            let _ = served.await;
+            ConnectionEnd::Protocol
+        }
+        _ => ConnectionEnd::Exit,
     }
-    ConnectionEnd::Exit
 }
 
 /// Waits until no complete request head has arrived for `timeout` after the last response, and at least
@@ -140,8 +147,9 @@
 
 /// Returns the status of the response that a request still needs at the end of its connection, or `None` if
 /// there is no such request.
-fn final_status(end: ConnectionEnd, stage: RequestStage) -> Option<StatusCode> {
+fn final_status(end: ConnectionEnd, stage: RequestStage, has_unparsed_request: bool) -> Option<StatusCode> {
     match (end, stage) {
+        _ if has_unparsed_request => Some(StatusCode::SERVICE_UNAVAILABLE),
         (ConnectionEnd::HeadTimedOut, RequestStage::Head) => Some(StatusCode::REQUEST_TIMEOUT),
         // Nothing of the request is accepted, so the client may send it again.
         (ConnectionEnd::Exit, RequestStage::Head | RequestStage::Body) => {
--- a/src/daemon/ingress/request_activity.rs
+++ b/src/daemon/ingress/request_activity.rs
@@ -35,6 +35,11 @@
         Self { stream, permit, has_stopped_reading: false, has_client_closed: false, unanswered }
     }
 
+    /// Returns whether this process has ended the input because the connection was asked to close.
+    pub fn has_stopped_reading(&self) -> bool {
+        self.has_stopped_reading
+    }
+
     /// Writes the last response on the connection, to a request that has not arrived completely. Nothing of it
     /// is accepted, so the client may send it again.
     ///
--- a/tests/sockets/unanswered_requests.rs
+++ b/tests/sockets/unanswered_requests.rs
@@ -142,3 +142,22 @@
     assert!(received.starts_with("HTTP/1.1 408"), "{received:?}");
     assert!(connected_at.elapsed() < Duration::from_secs(3), "{:?}", connected_at.elapsed());
 }
+
+/// Guards against a request without a response because its first bytes arrived together with the request
+/// before it, and its connection is closed to make room for others.
+#[tokio::test]
+async fn a_pipelined_request_is_answered_when_its_connection_makes_room() {
+    let platform = Platform::start().await;
+    let few_sockets = |config: &mut serde_json::Value| config["limits"]["sockets"] = json!(128);
+    let node = Node::start_with(&platform, &[], few_sockets).await;
+    let mut client = RawClient::connect(node.address).await;
+    let next = &RawClient::request_text("next", "keyed", "")[..HEAD_PART];
+    client.send(&format!("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n{next}")).await;
+    assert_eq!(client.response().await.unwrap().status(), 200);
+    let mut others = Vec::new();
+    for _ in 0..128 {
+        others.push(RawClient::connect(node.address).await);
+    }
+    let received = client.read_until_close().await;
+    assert!(received.starts_with("HTTP/1.1 503"), "{received:?}");
+}
