Admin endpoint: answer requests that have begun to arrive when the process exits

What callers saw: an operator's request, of which a part had been read, got no answer when the process exited after a shutdown or a handover.

Cause: nobody waited for the connections of the admin endpoint, which served them with code of its own.

Change: the admin endpoint serves its connections with the module for clients' connections, and its requests are finished together with the last responses to clients, within the same 0.2 s. As before, a request that has not arrived completely may make room for another connection; one that was read completely no longer does.

--- a/src/daemon/admin_server.rs
+++ b/src/daemon/admin_server.rs
@@ -4,20 +4,21 @@
 //! group can exhaust the connections or memory of the other.
 use super::error_log_limit::ErrorLogLimit;
 use super::events::{AdminError, AdminRequest, ListenerState, LoopEvent, MaintenanceChange};
-use super::ingress::{ConnectionLimits, ConnectionPermit, LingeringClose, read_body, text_response};
+use super::ingress::{
+    Closable, ConnectionLimits, ConnectionPermit, ConnectionSettings, MAX_HEAD_BYTES, UnansweredRequests,
+    http_connection, read_body, text_response,
+};
 use super::membership::{ViewQuery, ViewSource};
 use super::ports::{Listener, Log, Stream};
 use super::recovery::RecoveryStatus;
 use super::resource_budget::MAX_OPERATOR_CONNECTIONS;
+use super::runtime_checks::Violations;
 use super::watch_cell::WatchCell;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,17 +51,61 @@
     pub recovery: RecoveryStatus,
 }
 
-/// Serves operators until the process ends. When the connection limit is reached, a new connection replaces
-/// the one that has been idle longest.
-pub async fn serve(listener: Box<dyn Listener>, context: AdminContext, log: Rc<dyn Log>) {
-    let context = Rc::new(context);
-    let limits = ConnectionLimits::new(MAX_OPERATOR_CONNECTIONS, MAX_BODY_BYTES, Duration::ZERO);
+/// The server for operators.
+pub struct AdminServer {
+    limits: Arc<ConnectionLimits>,
+    /// Whether requests are served. It becomes [`ListenerState::Closed`] when the process exits.
+    state: WatchCell<ListenerState>,
+}
+
+impl AdminServer {
+    /// Starts to serve operators until the process ends. When the connection limit is reached, a new connection
+    /// replaces the oldest one whose request was not read completely.
+    pub fn start(
+        listener: Box<dyn Listener>,
+        context: AdminContext,
+        violations: Violations,
+        log: Rc<dyn Log>,
+    ) -> Self {
+        let limits = ConnectionLimits::new(
+            MAX_OPERATOR_CONNECTIONS,
+            MAX_BODY_BYTES,
+            Closable::Incomplete,
+            Duration::ZERO,
+        );
+        let state = WatchCell::new(ListenerState::Accepting);
+        let unanswered = UnansweredRequests::new("operators", log.clone(), state.clone(), violations);
+        let connections = ConnectionSettings {
+            head_timeout: REQUEST_TIMEOUT,
+            max_head_bytes: MAX_HEAD_BYTES,
+            keep_alive: false,
+            state: state.clone(),
+            unanswered: Rc::new(unanswered),
+        };
+        spawn_local(accept(listener, limits.clone(), Rc::new(context), Rc::new(connections), log));
+        Self { limits, state }
+    }
+
+    /// Answers the requests that have begun to arrive, and waits until their connections are closed.
+    pub async fn finish(&self) {
+        self.state.set(ListenerState::Closed);
+        self.limits.all_closed().await;
+    }
+}
+
+async fn accept(
+    listener: Box<dyn Listener>,
+    limits: Arc<ConnectionLimits>,
+    context: Rc<AdminContext>,
+    connections: Rc<ConnectionSettings>,
+    log: Rc<dyn Log>,
+) {
     let (started_at, mut log_limit) = (Instant::now(), ErrorLogLimit::default());
     loop {
         match listener.accept().await {
             Ok(stream) => {
                 let Some(permit) = limits.admit().await else { return };
-                spawn_local(serve_connection(stream, permit, context.clone()));
+                spawn_local(serve_connection(stream, permit, context.clone(), connections.clone()));
             }
             Err(error) => {
                 if let Some(suppressed) = log_limit.admit(started_at.elapsed()) {
@@ -72,27 +117,29 @@
     }
 }
 
-async fn serve_connection(stream: Box<dyn Stream>, permit: Arc<ConnectionPermit>, context: Rc<AdminContext>) {
-    let service = service_fn(|request| {
+async fn serve_connection(
+    stream: Box<dyn Stream>,
+    permit: Arc<ConnectionPermit>,
+    context: Rc<AdminContext>,
+    connections: Rc<ConnectionSettings>,
+) {
+    let respond = |request| {
         let (context, permit) = (context.clone(), permit.clone());
-        async move { Ok::<_, Infallible>(context.respond(request, &permit.limits).await) }
-    });
-    let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(REQUEST_TIMEOUT)
-        .keep_alive(false)
-        .half_close(true)
-        .serve_connection(TokioIo::new(LingeringClose::new(stream)), service);
-    tokio::select! {
-        biased;
-        // An error is ignored: the client has disconnected or stalled, and no response can be sent.
-        _ = connection => {}
-        () = permit.close_signal.requested() => {}
-    }
+        async move {
+            permit.set_head_read();
+            let response = context.respond(request, &permit).await;
+            permit.set_responded();
+            response
+        }
+    };
+    http_connection::serve(stream, permit.clone(), &connections, respond).await;
 }
 
 impl AdminContext {
-    async fn respond(&self, request: Request<Incoming>, limits: &ConnectionLimits) -> Response<Full<Bytes>> {
+    async fn respond(&self, request: Request<Incoming>, permit: &ConnectionPermit) -> Response<Full<Bytes>> {
+        if request.body().is_end_stream() {
+            permit.set_request_read();
+        }
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/status") => self.status(),
             (&Method::GET, "/status/metrics") => self.metrics().await,
@@ -111,10 +158,10 @@
                 }
             },
             (&Method::POST, "/maintenance/enter") => {
-                self.set_maintenance(request, limits, MaintenanceChange::Enter).await
+                self.set_maintenance(request, permit, MaintenanceChange::Enter).await
             }
             (&Method::POST, "/maintenance/exit") => {
-                self.set_maintenance(request, limits, MaintenanceChange::Exit).await
+                self.set_maintenance(request, permit, MaintenanceChange::Exit).await
             }
             (
                 _,
@@ -144,14 +191,15 @@
     async fn set_maintenance(
         &self,
         request: Request<Incoming>,
-        limits: &ConnectionLimits,
+        permit: &ConnectionPermit,
         change: MaintenanceChange,
     ) -> Response<Full<Bytes>> {
-        let body = match timeout(REQUEST_TIMEOUT, read_body(request.into_body(), limits)).await {
+        let body = match timeout(REQUEST_TIMEOUT, read_body(request.into_body(), &permit.limits)).await {
             Ok(Ok(body)) => body,
             Ok(Err(response)) => return response,
             Err(_) => return text_response(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
         };
+        permit.set_request_read();
         let endpoint = std::str::from_utf8(&body).map(str::trim).unwrap_or_default();
         if endpoint.is_empty() || endpoint.len() > MAX_ENDPOINT_ID_BYTES {
             return text_response(StatusCode::BAD_REQUEST, "the body is to be the id of an endpoint\n");
--- a/src/daemon/client_listener.rs
+++ b/src/daemon/client_listener.rs
@@ -2,7 +2,7 @@
 use super::environment::{BoundListener, Environment};
 use super::events::LoopEvent;
 use super::ingress::{
-    self, ConnectionLimits, ConnectionSettings, HEAD_TIMEOUT, IngressContext, MAX_HEAD_BYTES,
+    self, Closable, ConnectionLimits, ConnectionSettings, HEAD_TIMEOUT, IngressContext, MAX_HEAD_BYTES,
     MIN_UNSERVED_AGE, UnansweredRequests,
 };
 use super::ports::Listener;
@@ -15,7 +15,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 
 /// The time limit for writing the last responses to clients after the event loop has ended.
-const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(200);
+pub const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The server for clients.
 pub struct ClientListener {
@@ -41,8 +41,12 @@
         environment.ports.log.line(&format!("listening on {at}"));
         let listener = Rc::<dyn Listener>::from(listener);
         let budget = &environment.budget;
-        let limits =
-            ConnectionLimits::new(budget.client_connections, budget.request_body_bytes, MIN_UNSERVED_AGE);
+        let limits = ConnectionLimits::new(
+            budget.client_connections,
+            budget.request_body_bytes,
+            Closable::Idle,
+            MIN_UNSERVED_AGE,
+        );
         let context = ingress_context(environment, at);
         let log = environment.ports.log.clone();
         let server = spawn_local(ingress::serve(listener.clone(), limits.clone(), context, log));
@@ -58,7 +62,7 @@
 
 fn ingress_context(environment: &Environment, address: SocketAddr) -> IngressContext {
     let (log, listener) = (environment.ports.log.clone(), environment.listener_state.clone());
-    let unanswered = UnansweredRequests::new(log, listener, environment.violations.clone());
+    let unanswered = UnansweredRequests::new("ingress", log, listener, environment.violations.clone());
     let connections = ConnectionSettings {
         head_timeout: HEAD_TIMEOUT,
         max_head_bytes: MAX_HEAD_BYTES,
--- a/src/daemon/environment.rs
+++ b/src/daemon/environment.rs
@@ -1,5 +1,5 @@
 //! The parts of the daemon that exist for the life of a process, and the steps of its startup.
-use super::admin_server::AdminContext;
+use super::admin_server::{AdminContext, AdminServer};
 use super::clock::{Clock, Predecessor};
 use super::config::Config;
 use super::config_schema::ConfigSchema;
@@ -17,7 +17,7 @@
 use super::resource_budget::ResourceBudget;
 use super::runtime_checks::Violations;
 use super::watch_cell::WatchCell;
-use super::{Signal, StartError, admin_server, journal_opening, listening, membership, peer_reporting};
+use super::{Signal, StartError, journal_opening, listening, membership, peer_reporting};
 use micadrum_config::{Durability, OperatorConfig};
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -102,8 +102,8 @@
         &self,
         config: &Config,
         membership: Option<&membership::Handle>,
-    ) -> Result<(), StartError> {
-        let Some(address) = config.admin_listen else { return Ok(()) };
+    ) -> Result<Option<AdminServer>, StartError> {
+        let Some(address) = config.admin_listen else { return Ok(None) };
         let BoundListener { listener, at } = self.listen(address, None).await?;
         self.ports.log.line(&format!("operators: listening on {at}"));
         let context = AdminContext {
@@ -112,8 +112,8 @@
             members: membership.map(|membership| (membership.views(), membership.view_query())),
             recovery: self.recovery.clone(),
         };
-        spawn_local(admin_server::serve(listener, context, self.ports.log.clone()));
-        Ok(())
+        let log = self.ports.log.clone();
+        Ok(Some(AdminServer::start(listener, context, self.violations.clone(), log)))
     }
 
     /// Starts to forward signals to the event loop.
--- a/src/daemon/ingress/connection_limits.rs
+++ b/src/daemon/ingress/connection_limits.rs
@@ -14,6 +14,15 @@
 /// How often [`ConnectionLimits::admit`] looks for an idle connection to close while it waits for a permit.
 const ADMISSION_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Which connections may be closed to make room for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closable {
+    /// Those on which no request has begun to arrive.
+    Idle,
+    /// Those whose request has not arrived completely, too.
+    Incomplete,
+}
+
 /// Limits on the number of open connections and on the total size of the request bodies that are being read.
 pub struct ConnectionLimits {
     permits: Arc<Semaphore>,
@@ -21,6 +30,7 @@
     idle: Mutex<IdleConnections>,
     stages: Mutex<StageCounts>,
     max_connections: usize,
+    closable: Closable,
     /// How long a connection without a response is kept open before it may be closed for another one.
     min_unserved_age: Duration,
 }
@@ -72,15 +82,21 @@
 
 impl ConnectionLimits {
     /// Allows `max_connections` open connections, and `max_body_bytes` in all request bodies that are being
-    /// read. A connection that has not carried a response may be closed for another one after
+    /// read. A connection that is `closable` and has not carried a response may be closed for another one after
     /// `min_unserved_age`.
-    pub fn new(max_connections: usize, max_body_bytes: usize, min_unserved_age: Duration) -> Arc<Self> {
+    pub fn new(
+        max_connections: usize,
+        max_body_bytes: usize,
+        closable: Closable,
+        min_unserved_age: Duration,
+    ) -> Arc<Self> {
         Arc::new(Self {
             permits: Arc::new(Semaphore::new(max_connections)),
             body_bytes: Semaphore::new(max_body_bytes),
             idle: Mutex::default(),
             stages: Mutex::default(),
             max_connections,
+            closable,
             min_unserved_age,
         })
     }
@@ -182,7 +198,9 @@
 
     /// Records that a request has begun to arrive: the connection is busy until its response is flushed.
     pub fn set_busy(&self) {
-        self.leave_idle();
+        if self.limits.closable == Closable::Idle {
+            self.leave_idle();
+        }
         if self.stage() == RequestStage::Idle {
             self.set_stage(RequestStage::Head);
         }
@@ -201,6 +219,7 @@
 
     /// Records that a request was read completely.
     pub fn set_request_read(&self) {
+        self.leave_idle();
         self.set_stage(RequestStage::Processing);
     }
 
@@ -217,6 +236,12 @@
         }
     }
 
+    /// Returns whether the connection may be closed for another one although a part of a request was read.
+    pub fn is_closable_incomplete(&self) -> bool {
+        let is_incomplete = matches!(self.stage(), RequestStage::Head | RequestStage::Body);
+        is_incomplete && self.limits.closable == Closable::Incomplete
+    }
+
     fn set_stage(&self, stage: RequestStage) {
         let previous = {
             let mut state = self.state();
--- a/src/daemon/ingress/http_connection.rs
+++ b/src/daemon/ingress/http_connection.rs
@@ -50,6 +50,8 @@
     Protocol,
     /// A request head did not arrive completely in time.
     HeadTimedOut,
+    /// Its request had not arrived completely, and another connection needed its place.
+    MadeRoom,
     /// The process exits.
     Exit,
 }
@@ -85,7 +87,9 @@
     if let Some(status) = final_status(end, permit.stage(), has_unparsed_request) {
         let _ = stream.write_final_response(status).await;
     }
-    let _ = stream.shutdown().await;
+    if end != ConnectionEnd::MadeRoom {
+        let _ = stream.shutdown().await;
+    }
 }
 
 /// Drives a connection until it ends.
@@ -100,7 +104,9 @@
         biased;
         // An error is ignored: the connection has failed, or hyper has responded to a malformed head.
         _ = served.as_mut() => return ConnectionEnd::Protocol,
-        () = permit.close_signal.requested() => {}
+        () = permit.close_signal.requested() => if permit.is_closable_incomplete() {
+            return ConnectionEnd::MadeRoom;
+        },
         () = settings.state.wait_for(must_close) => permit.close_signal.request(),
         stage = timed_out(permit, settings.head_timeout) => match stage {
             RequestStage::Head => return ConnectionEnd::HeadTimedOut,
--- a/src/daemon/ingress/http_connection/tests.rs
+++ b/src/daemon/ingress/http_connection/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the time limits of a connection, in paused time.
 use super::*;
-use crate::daemon::ingress::{ConnectionLimits, text_response};
+use crate::daemon::ingress::{Closable, ConnectionLimits, text_response};
 use crate::daemon::ports::Log;
 use crate::daemon::runtime_checks::Violations;
 use std::io;
@@ -53,7 +53,7 @@
 async fn responses_to(parts: &[(Duration, &[u8])]) -> String {
     let (mut client, server) = duplex(4096);
     let state = WatchCell::new(ListenerState::Accepting);
-    let unanswered = UnansweredRequests::new(Rc::new(NoLog), state.clone(), Violations::default());
+    let unanswered = UnansweredRequests::new("ingress", Rc::new(NoLog), state.clone(), Violations::default());
     let settings = ConnectionSettings {
         head_timeout: HEAD_TIMEOUT,
         max_head_bytes: 16 * 1024,
@@ -61,7 +61,7 @@
         state,
         unanswered: Rc::new(unanswered),
     };
-    let limits = ConnectionLimits::new(1, 1024, Duration::ZERO);
+    let limits = ConnectionLimits::new(1, 1024, Closable::Idle, Duration::ZERO);
     let permit = limits.admit().await.unwrap();
     let serving =
         serve(Box::new(TestStream(server)), permit, &settings, async |_| text_response(StatusCode::OK, ""));
--- a/src/daemon/ingress/mod.rs
+++ b/src/daemon/ingress/mod.rs
@@ -4,7 +4,7 @@
 //! to which the request is forwarded during a handover.
 mod connection_limits;
 mod forwarding;
-mod http_connection;
+pub mod http_connection;
 mod lingering_close;
 mod request_activity;
 mod request_stage;
@@ -17,14 +17,13 @@
 use super::ports::{Listener, Log, Network, Stream};
 use super::watch_cell::WatchCell;
 use bytes::Bytes;
-pub use connection_limits::{ConnectionLimits, ConnectionPermit};
+pub use connection_limits::{Closable, ConnectionLimits, ConnectionPermit};
 use forwarding::{ForwardedRequest, forward};
 use http_body_util::Full;
 pub use http_connection::ConnectionSettings;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode};
-pub use lingering_close::LingeringClose;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
--- a/src/daemon/ingress/unanswered_requests.rs
+++ b/src/daemon/ingress/unanswered_requests.rs
@@ -11,6 +11,8 @@
 
 /// Logs and counts the connections that this process closes before the response to a request is written.
 pub struct UnansweredRequests {
+    /// The component that the log lines name.
+    component: &'static str,
     log: Rc<dyn Log>,
     log_limit: RefCell<ErrorLogLimit>,
     started_at: Instant,
@@ -20,9 +22,14 @@
 
 impl UnansweredRequests {
     /// Creates a report to `log` and `violations`. `listener` is the state that the log lines name.
-    pub fn new(log: Rc<dyn Log>, listener: WatchCell<ListenerState>, violations: Violations) -> Self {
+    pub fn new(
+        component: &'static str,
+        log: Rc<dyn Log>,
+        listener: WatchCell<ListenerState>,
+        violations: Violations,
+    ) -> Self {
         let (log_limit, started_at) = (RefCell::default(), Instant::now());
-        Self { log, log_limit, started_at, listener, violations }
+        Self { component, log, log_limit, started_at, listener, violations }
     }
 
     /// Records that this process closes a connection at `stage`.
@@ -37,8 +44,9 @@
         }
         if let Some(suppressed) = self.log_limit.borrow_mut().admit(self.started_at.elapsed()) {
             self.log.line(&format!(
-                "ingress: connection closed before the response was written stage={stage} listener={:?} \
+                "{}: connection closed before the response was written stage={stage} listener={:?} \
                  suppressed={suppressed}",
+                self.component,
                 self.listener.get()
             ));
         }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -48,7 +48,8 @@
 mod trace;
 mod watch_cell;
 
-use client_listener::ClientListener;
+use admin_server::AdminServer;
+use client_listener::{ClientListener, LAST_RESPONSES_TIMEOUT};
 use config::{Config, ConfigReadError};
 use environment::{Environment, LoopStart};
 use event_loop::{EventLoopError, HandoverState};
@@ -63,6 +64,7 @@
 use std::rc::Rc;
 use takeover::Takeover;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::time::timeout;
 
 /// A signal from the platform to a running sender.
 pub enum Signal {
@@ -112,7 +114,7 @@
     let (events, mut received) = unbounded_channel();
     let environment = Environment::new(&config, ports, events)?;
     let membership = environment.join_membership(&config)?;
-    environment.serve_admin_endpoint(&config, membership.as_ref()).await?;
+    let admin_server = environment.serve_admin_endpoint(&config, membership.as_ref()).await?;
     environment.forward_signals(signals);
     let mut takeover = Takeover::enter(&environment).await?;
     let mut start = LoopStart {
@@ -135,7 +137,8 @@
         environment.accept_clients();
         takeover.confirm(&environment).await;
         let Some(handover) = event_loop.run(&mut received).await else {
-            shut_down(&environment, membership, clients, received).await;
+            let admin_requests = finish_admin_requests(admin_server.as_ref());
+            tokio::join!(shut_down(&environment, membership, clients, received), admin_requests);
             return Ok(());
         };
         drop(platform_tasks);
@@ -148,6 +151,8 @@
             drop((membership, takeover));
             environment.listener_state.set(ListenerState::HandedOver);
             standby.forward_reloads(offer.signals, clients).await;
+            drop_events(&mut received);
+            finish_admin_requests(admin_server.as_ref()).await;
             return Ok(());
         }
         environment.resend(offer.signals.into_events());
@@ -166,6 +171,13 @@
     submissions
 }
 
+/// Waits until the operators' requests that have begun to arrive are answered, or a short timeout has passed.
+async fn finish_admin_requests(server: Option<&AdminServer>) {
+    if let Some(server) = server {
+        let _ = timeout(LAST_RESPONSES_TIMEOUT, server.finish()).await;
+    }
+}
+
 /// Leaves the fleet, and waits until the last responses to clients are written.
 async fn shut_down(
     environment: &Environment,
--- a/tests/sockets/unanswered_requests.rs
+++ b/tests/sockets/unanswered_requests.rs
@@ -4,6 +4,7 @@
 use super::raw_connections::*;
 use serde_json::json;
 use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
 
 /// The time from SIGTERM to SIGKILL by the platform, within which the process must exit.
 const KILL_DELAY: Duration = Duration::from_millis(3_700);
@@ -161,3 +162,20 @@
     let received = client.read_until_close().await;
     assert!(received.starts_with("HTTP/1.1 503"), "{received:?}");
 }
+
+/// Returns the head and a part of the body of a request to the admin endpoint.
+const HALF_ADMIN_REQUEST: &[u8] = b"POST /maintenance/enter HTTP/1.1\r\nContent-Length: 9\r\n\r\ns";
+
+/// Guards against an operator's request without a response because the process exits while it arrives.
+#[tokio::test]
+async fn an_operators_request_that_is_half_read_at_the_exit_is_answered() {
+    let platform = Platform::start().await;
+    let mut node = Node::start(&platform, &[]).await;
+    let mut operator = RawClient::connect(node.admin_address).await;
+    operator.0.write_all(HALF_ADMIN_REQUEST).await.unwrap();
+    assert_eq!(node.admin_request("GET /status", "").await.status(), 200);
+    node.terminate();
+    let received = operator.read_until_close().await;
+    assert!(received.starts_with("HTTP/1.1 503"), "{received:?}");
+    assert!(node.exits_successfully().await);
+}
