Admin endpoint: answer a request that makes room for another connection

What callers saw: with 16 unfinished calls, an operator's request of which a part had been read was closed with no answer when a further caller connected.

Cause: the connection was dropped as soon as it was asked to make room.

Change: it is answered with 503 first. It does not linger, as its place is needed at once.

--- a/src/daemon/ingress/http_connection.rs
+++ b/src/daemon/ingress/http_connection.rs
@@ -87,6 +87,7 @@
     if let Some(status) = final_status(end, permit.stage(), has_unparsed_request) {
         let _ = stream.write_final_response(status).await;
     }
+    // The place of a connection that makes room is needed at once.
     if end != ConnectionEnd::MadeRoom {
         let _ = stream.shutdown().await;
     }
@@ -158,7 +159,7 @@
         _ if has_unparsed_request => Some(StatusCode::SERVICE_UNAVAILABLE),
         (ConnectionEnd::HeadTimedOut, RequestStage::Head) => Some(StatusCode::REQUEST_TIMEOUT),
         // Nothing of the request is accepted, so the client may send it again.
-        (ConnectionEnd::Exit, RequestStage::Head | RequestStage::Body) => {
+        (ConnectionEnd::Exit | ConnectionEnd::MadeRoom, RequestStage::Head | RequestStage::Body) => {
             Some(StatusCode::SERVICE_UNAVAILABLE)
         }
         _ => None,
--- a/tests/sockets/unanswered_requests.rs
+++ b/tests/sockets/unanswered_requests.rs
@@ -179,3 +179,19 @@
     assert!(received.starts_with("HTTP/1.1 503"), "{received:?}");
     assert!(node.exits_successfully().await);
 }
+
+/// Guards against an operator's request without a response because its connection is closed for another one
+/// while it arrives.
+#[tokio::test]
+async fn an_operators_request_that_makes_room_for_others_is_answered() {
+    let platform = Platform::start().await;
+    let node = Node::start(&platform, &[]).await;
+    let mut operator = RawClient::connect(node.admin_address).await;
+    operator.0.write_all(HALF_ADMIN_REQUEST).await.unwrap();
+    let mut others = Vec::new();
+    for _ in 0..40 {
+        others.push(RawClient::connect(node.admin_address).await);
+    }
+    let received = operator.read_until_close().await;
+    assert!(received.starts_with("HTTP/1.1 503"), "{received:?}");
+}
