Handover: ask again when the running process closes the connection without a reply

What operators saw: a process that was started in the last moments of a shutdown exited with code 1, "handover: invalid message from the running process: the length of the state is missing".

Cause: the same as of the unanswered requests: the event loop had ended, and the successor's request lay in a channel that nobody read until the process exited; the new process took the end of the connection for an invalid message.

Change: the end of the connection before the first byte of a reply means "not now": the new process asks again every 0.1 s, and takes the lock once the old process has exited, within the same 5 s as before. Without a lock on the folder it does not start beside a process that refuses.

--- a/src/daemon/handover.rs
+++ b/src/daemon/handover.rs
@@ -41,6 +41,8 @@
 const RELOAD: u8 = b'R';
 /// The delay before a failed attempt to take over, or to accept a successor, is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+/// The delay before a successor asks again a process that refused to hand over.
+const REFUSED_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// The time within which a successor has to send the hello.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
 /// The time within which a predecessor has to hand over. Its calls take at most a second to end, and the
@@ -81,9 +83,6 @@
 /// The reason why the message of a predecessor is invalid.
 #[derive(Debug, thiserror::Error)]
 pub enum InvalidStateMessage {
-    /// The message ends before the length of the state.
-    #[error("the length of the state is missing")]
-    Length,
     /// The message contains no descriptor.
     #[error("the listening socket is missing")]
     ListenerMissing,
@@ -126,7 +125,7 @@
 }
 
 /// Takes over from the process that runs in the folder, if there is one. Waits for a process that holds the
-/// lock and accepts no connection, because it is starting or exiting.
+/// lock and does not hand over, because it is starting, exiting or handing over to another process.
 ///
 /// # Errors
 /// Another process is running, and the handover failed or timed out.
@@ -134,22 +133,26 @@
     let mut lock_file = LockFile::open(folder).map_err(|error| log_lock_error(&error, log)).ok();
     let deadline = Instant::now() + HANDOVER_TIMEOUT;
     loop {
-        if let Some(received) = request_handover(folder).await? {
-            return Ok(StartupMode::Successor(received, lock_file));
-        }
-        let Some(unlocked) = lock_file else { return Ok(StartupMode::Fresh(None)) };
-        match unlocked.try_lock() {
-            Ok(LockAttempt::Locked(lock)) => return Ok(StartupMode::Fresh(Some(lock))),
-            Ok(LockAttempt::HeldElsewhere(unlocked)) => lock_file = Some(unlocked),
-            Err(error) => {
-                log_lock_error(&error, log);
-                return Ok(StartupMode::Fresh(None));
+        let retry_interval = match request_handover(folder).await? {
+            HandoverReply::HandsOver(received) => return Ok(StartupMode::Successor(received, lock_file)),
+            HandoverReply::Refused => REFUSED_RETRY_INTERVAL,
+            HandoverReply::NoProcess => {
+                let Some(unlocked) = lock_file else { return Ok(StartupMode::Fresh(None)) };
+                match unlocked.try_lock() {
+                    Ok(LockAttempt::Locked(lock)) => return Ok(StartupMode::Fresh(Some(lock))),
+                    Ok(LockAttempt::HeldElsewhere(unlocked)) => lock_file = Some(unlocked),
+                    Err(error) => {
+                        log_lock_error(&error, log);
+                        return Ok(StartupMode::Fresh(None));
+                    }
+                }
+                RETRY_INTERVAL
             }
-        }
+        };
         if Instant::now() >= deadline {
             return Err(HandoverError::Locked);
         }
-        sleep(RETRY_INTERVAL).await;
+        sleep(retry_interval).await;
     }
 }
 
@@ -158,27 +161,42 @@
     log.line(&format!("state_lock: unavailable error={error}"));
 }
 
-/// Asks the process that runs in the folder to hand over. Returns `None` if no process accepts the
-/// connection.
-async fn request_handover(folder: &Path) -> Result<Option<ReceivedListener>, HandoverError> {
+/// The result of a request for a handover.
+enum HandoverReply {
+    /// No process accepts the connection.
+    NoProcess,
+    /// A process closed the connection without a reply: it is exiting, hands over to another process, or cannot
+    /// hand over now.
+    Refused,
+    /// A process hands over.
+    HandsOver(ReceivedListener),
+}
+
+/// Asks the process that runs in the folder to hand over.
+async fn request_handover(folder: &Path) -> Result<HandoverReply, HandoverError> {
     // Connecting to a socket that an exited process left behind fails.
-    let Ok(stream) = UnixStream::connect(folder.join(SOCKET_NAME)).await else { return Ok(None) };
+    let Ok(stream) = UnixStream::connect(folder.join(SOCKET_NAME)).await else {
+        return Ok(HandoverReply::NoProcess);
+    };
     let mut stream = ReadyStream(stream);
-    stream.write_all(HELLO).await?;
+    if stream.write_all(HELLO).await.is_err() {
+        return Ok(HandoverReply::Refused);
+    }
     let received = timeout(HANDOVER_TIMEOUT, receive(stream)).await;
-    received.map_err(|_| HandoverError::TimedOut)?.map(Some)
+    received.map_err(|_| HandoverError::TimedOut)?
 }
 
-async fn receive(mut stream: ReadyStream<UnixStream>) -> Result<ReceivedListener, HandoverError> {
+async fn receive(mut stream: ReadyStream<UnixStream>) -> Result<HandoverReply, HandoverError> {
     let mut length = [0; 8];
     let mut descriptors = Vec::new();
     let socket = &stream.0;
     let read = socket
         .async_io(Interest::READABLE, || receive_with_descriptors(socket, &mut length, &mut descriptors));
-    match read.await? {
-        0 => return Err(InvalidStateMessage::Length.into()),
+    match read.await {
+        // An exiting process resets the connection if it has not read the hello.
+        Ok(0) | Err(_) => return Ok(HandoverReply::Refused),
         // The descriptors arrive with the first byte; the other bytes may arrive later.
-        bytes => drop(stream.read_exact(&mut length[bytes..]).await?),
+        Ok(bytes) => drop(stream.read_exact(&mut length[bytes..]).await?),
     }
     let mut descriptors = descriptors.into_iter();
     let listener = descriptors.next().ok_or(InvalidStateMessage::ListenerMissing)?;
@@ -190,7 +208,8 @@
     let mut bytes = vec![0; length as usize];
     stream.read_exact(&mut bytes).await?;
     let state = postcard::from_bytes(&bytes).map_err(InvalidStateMessage::from)?;
-    Ok(ReceivedListener { predecessor: Predecessor(stream), listener, lock, state })
+    let predecessor = Predecessor(stream);
+    Ok(HandoverReply::HandsOver(ReceivedListener { predecessor, listener, lock, state }))
 }
 
 /// Reads into `buffer`, and appends the descriptors that arrive with the bytes to `descriptors`. Returns the
--- a/tests/sockets/unanswered_requests.rs
+++ b/tests/sockets/unanswered_requests.rs
@@ -195,3 +195,19 @@
     let received = operator.read_until_close().await;
     assert!(received.starts_with("HTTP/1.1 503"), "{received:?}");
 }
+
+/// Guards against a new process that exits with an error because it asks for a handover in the last moments of
+/// a shutdown.
+#[tokio::test]
+async fn a_process_that_starts_at_the_end_of_a_shutdown_serves() {
+    let shutdown = Shutdown::begin(&mut []).await;
+    let request = RawClient::request_text("late", "keyed", "");
+    tokio::time::sleep(MIN_SHUTDOWN_DURATION.saturating_sub(shutdown.requested_at.elapsed())).await;
+    let mut client = RawClient::connect(shutdown.node.address).await;
+    send_part(&shutdown.node, &mut client, &request[..body_part(&request)]).await;
+    let (mut node, _endpoint) = shutdown.end_last_call().await;
+    let mut next = node.without_process();
+    next.launch().await;
+    assert_eq!(next.request("GET /-/ready", "", b"").await.status(), 200);
+    assert!(node.exits_successfully().await);
+}
