Handover: continue a shutdown if a handover that begins after SIGTERM fails

What callers saw: after SIGTERM a new process asked to take over and ended; the old process then served as if no SIGTERM had come, until SIGKILL cut its open requests.

Cause: the shutdown is part of the event loop that ends for the handover, and was not passed on to the next one.

Change: an event loop that ends for a handover requests its shutdown again, with the time of the SIGTERM. It is dropped with the other signals if the successor takes over.

--- a/src/daemon/event_loop/shutdown.rs
+++ b/src/daemon/event_loop/shutdown.rs
@@ -228,6 +228,10 @@
         self.tasks.shutdown().await;
         sleep(CONNECTION_CLOSE_DELAY).await;
         self.handle_remaining_events(events);
+        if let Some(Shutdown { latest, .. }) = self.lifecycle.shutdown {
+            // Continues the shutdown if this process keeps the listener.
+            let _ = self.events.send(LoopEvent::Shutdown(latest - SHUTDOWN_TIMEOUT));
+        }
         // With `now` as the deadline, the engine starts no further call.
         let now = self.clock.now();
         self.queue.push(now, Event::Handover(now));
--- a/tests/sockets/unanswered_requests.rs
+++ b/tests/sockets/unanswered_requests.rs
@@ -211,3 +211,19 @@
     assert_eq!(next.request("GET /-/ready", "", b"").await.status(), 200);
     assert!(node.exits_successfully().await);
 }
+
+/// Guards against a process that forgets a SIGTERM because a handover that begins afterwards fails.
+#[tokio::test]
+async fn a_shutdown_continues_after_a_failed_handover() {
+    let Shutdown { mut node, requested_at, last_call, .. } = Shutdown::begin(&mut []).await;
+    drop(super::handover::take_over_unconfirmed(&node).await);
+    let has_succeeded = loop {
+        if let Some(has_succeeded) = node.poll_exit() {
+            break has_succeeded;
+        }
+        assert!(requested_at.elapsed() < KILL_DELAY, "the process did not exit");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert!(has_succeeded);
+    drop(last_call);
+}
