Tests: half-read requests across a reload, handovers and a full listener

Requests cut in head and body are now completed after a reload, after a handover whose successor ends, and after one that succeeds (202 each, the last ones by the successor); a connection with a part of a head stays open when others make room, also for HTTP/1.0.

--- a/tests/sockets/unanswered_requests.rs
+++ b/tests/sockets/unanswered_requests.rs
@@ -4,7 +4,7 @@
 use super::raw_connections::*;
 use serde_json::json;
 use std::time::{Duration, Instant};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// The time from SIGTERM to SIGKILL by the platform, within which the process must exit.
 const KILL_DELAY: Duration = Duration::from_millis(3_700);
@@ -212,6 +212,61 @@
     assert!(node.exits_successfully().await);
 }
 
+/// Guards against losing a request of which a part was read before a reload or before a handover, whether the
+/// new process takes over or ends.
+#[tokio::test]
+async fn half_read_requests_are_answered_after_a_reload_and_after_handovers() {
+    let (mut endpoint, platform) = (TestServer::start().await, Platform::start().await);
+    let entry = endpoint_entry("s-1", endpoint.address, "single", "SERVING");
+    let mut node = Node::start(&platform, &[entry]).await;
+    for (step, interruption) in ["reload", "failed handover", "handover"].into_iter().enumerate() {
+        let mut halves = Vec::new();
+        for (n, is_body) in [false, true].into_iter().enumerate() {
+            let request = RawClient::request_text(&format!("m{step}{n}"), "keyed", "");
+            let part = if is_body { body_part(&request) } else { HEAD_PART };
+            let mut client = RawClient::connect(node.address).await;
+            send_part(&node, &mut client, &request[..part]).await;
+            halves.push((client, request[part..].to_owned()));
+        }
+        let mut old = None;
+        match interruption {
+            "reload" => {
+                node.reload_with(|_| {});
+                node.wait_for_metrics("the reload is applied", |metrics| metrics["reconfig_ok"] == 1).await;
+            }
+            "failed handover" => drop(super::handover::take_over_unconfirmed(&node).await),
+            _ => old = Some(node.replace().await),
+        }
+        for (mut client, rest) in halves {
+            client.send(&rest).await;
+            let response = client.response().await.expect("the connection ended without a response");
+            assert_eq!(response.status(), 202, "{interruption}");
+            endpoint.next_call().await.ok();
+        }
+        if let Some(mut old) = old {
+            assert!(old.exits_successfully().await);
+        }
+    }
+}
+
+/// Guards against closing a connection for others while a part of its request was read, and against not
+/// answering a client that speaks HTTP/1.0.
+#[tokio::test]
+async fn a_half_read_request_keeps_its_connection_among_many_others() {
+    let platform = Platform::start().await;
+    let few_sockets = |config: &mut serde_json::Value| config["limits"]["sockets"] = json!(128);
+    let node = Node::start_with(&platform, &[], few_sockets).await;
+    let mut client = RawClient::connect(node.address).await;
+    send_part(&node, &mut client, "GET /-/ready HTTP/1.0\r\n").await;
+    let mut others = Vec::new();
+    for _ in 0..128 {
+        others.push(RawClient::connect(node.address).await);
+    }
+    client.send("Host: a\r\n\r\n").await;
+    assert_eq!(client.response().await.expect("no response").status(), 200);
+    assert_eq!(client.0.read(&mut [0]).await.unwrap(), 0, "HTTP/1.0 keeps no connection");
+}
+
 /// Guards against a process that forgets a SIGTERM because a handover that begins afterwards fails.
 #[tokio::test]
 async fn a_shutdown_continues_after_a_failed_handover() {
