Shutdown: serve clients until the event loop ends

What callers saw: between 2.9 and 3.4 s after SIGTERM, with calls still out, new connections were left in the accept queue and reset at the exit.

Cause: the listener closed 0.5 s before the deadline, and the accept loop ended with its last connection although the event loop went on for its calls.

Change: the listener closes only when no work is left; what is incomplete at the deadline is answered by the exit. The accept loop runs until the event loop has ended.

--- a/src/daemon/event_loop/shutdown.rs
+++ b/src/daemon/event_loop/shutdown.rs
@@ -55,21 +55,14 @@
     fn due(&self, now: Instant) -> Instant {
         match self.phase {
             ShutdownPhase::Draining if now < self.earliest => self.earliest,
-            ShutdownPhase::Draining => self.latest_closing(),
             ShutdownPhase::Closing { until } if now < until => until,
-            ShutdownPhase::Closing { .. } | ShutdownPhase::ClientsClosed => self.latest,
+            _ => self.latest,
         }
     }
 
-    /// Returns the time at which the listener closes even if work is left.
-    fn latest_closing(&self) -> Instant {
-        self.latest - REQUEST_COMPLETION_TIMEOUT
-    }
-
     /// Returns whether the listener has to start closing at `now`.
     fn must_close(&self, now: Instant, is_idle: bool) -> bool {
-        let is_draining = matches!(self.phase, ShutdownPhase::Draining);
-        is_draining && (now >= self.latest_closing() || now >= self.earliest && is_idle)
+        matches!(self.phase, ShutdownPhase::Draining) && now >= self.earliest && is_idle
     }
 
     /// Returns whether the loop has to end at `now`.
--- a/src/daemon/events.rs
+++ b/src/daemon/events.rs
@@ -208,8 +208,8 @@
     /// Each connection is closed after its next response, so that the client connects elsewhere. New
     /// connections are still accepted.
     Draining,
-    /// The shutdown has no other work left, or its deadline is near. Idle connections are closed. Requests
-    /// that have begun to arrive are still answered.
+    /// The shutdown has no other work left. Idle connections are closed. Requests that have begun to arrive are
+    /// still answered.
     Closing,
     /// The event loop has ended, and the process is about to exit.
     Closed,
--- a/src/daemon/ingress/mod.rs
+++ b/src/daemon/ingress/mod.rs
@@ -78,10 +78,11 @@
     let state = &context.state;
     let (started_at, mut log_limit) = (Instant::now(), ErrorLogLimit::default());
     let has_stopped = |state| matches!(state, ListenerState::Closed | ListenerState::HandedOver);
-    let all_closed = async || {
+    let clients_closed = async || {
         state.wait_for(|state| state == ListenerState::Closing).await;
         limits.all_closed().await;
     };
+    let mut has_reported_close = false;
     loop {
         let accepted = tokio::select! {
             biased;
@@ -93,7 +94,12 @@
                 continue;
             }
             accepted = listener.accept() => accepted,
-            () = all_closed() => break,
+            () = clients_closed(), if !has_reported_close => {
+                // Clients are still accepted until the event loop ends, in case it has other work left.
+                has_reported_close = true;
+                let _ = context.events.send(LoopEvent::ClientsClosed);
+                continue;
+            }
         };
         match accepted {
             Ok(stream) => {
@@ -110,9 +116,6 @@
     }
     drop(listener);
     limits.all_closed().await;
-    if state.get() == ListenerState::Closing {
-        let _ = context.events.send(LoopEvent::ClientsClosed);
-    }
 }
 
 /// Waits as long as the failure requires before the next accept, and closes an idle connection if descriptors
--- a/tests/sockets/unanswered_requests.rs
+++ b/tests/sockets/unanswered_requests.rs
@@ -130,6 +130,20 @@
     assert!(requested_at.elapsed() < KILL_DELAY, "{:?}", requested_at.elapsed());
 }
 
+/// Guards against clients that connect shortly before the latest end of a shutdown and are not served any more.
+#[tokio::test]
+async fn a_client_that_connects_shortly_before_the_deadline_of_a_shutdown_is_answered() {
+    let Shutdown { mut node, requested_at, last_call, .. } = Shutdown::begin(&mut []).await;
+    tokio::time::sleep(Duration::from_secs(3).saturating_sub(requested_at.elapsed())).await;
+    let mut client = RawClient::connect(node.address).await;
+    client.send(&RawClient::request_text("late", "keyed", "")).await;
+    let response = client.response().await.expect("the connection ended without a response");
+    assert_eq!(response.status(), 503);
+    assert!(node.exits_successfully().await);
+    assert!(requested_at.elapsed() < KILL_DELAY, "{:?}", requested_at.elapsed());
+    drop(last_call);
+}
+
 /// Guards against a connection that is closed without a response because the head of its request does not
 /// arrive completely in time.
 #[tokio::test]
