Test kit: requests in pieces while their senders end

A client sends a request again only if the close came within 30 ms of its last byte; a later one without an answer breaks the rule unless the process was killed. A graceful exit no longer excuses it. Not simulated or played by the kit: a handover, for which it has no fault yet.

--- a/crates/micadrum-testkit/src/cli.rs
+++ b/crates/micadrum-testkit/src/cli.rs
@@ -91,6 +91,9 @@
     /// Add random faults of endpoints and agents that answer more than once
     #[arg(long)]
     pub answer_faults: bool,
+    /// Add random requests in two pieces, and ends of processes while they arrive
+    #[arg(long)]
+    pub request_faults: bool,
     /// Add no random faults; inject only those of the scenario
     #[arg(long, conflicts_with = "peer_faults")]
     pub planned: bool,
@@ -108,6 +111,9 @@
     /// The seeds to run, both ends included
     #[arg(long, value_name = "A..B", value_parser = parse_seed_range)]
     pub seeds: RangeInclusive<u64>,
+    /// Add random requests in two pieces, and ends of processes while they arrive
+    #[arg(long)]
+    pub request_faults: bool,
     /// Add no random faults; inject only those of the scenario
     #[arg(long)]
     pub planned: bool,
@@ -130,6 +136,7 @@
             peers: self.peer_faults,
             system: self.system_faults,
             answers: self.answer_faults,
+            requests: self.request_faults,
         }
     }
 
@@ -138,12 +145,13 @@
         let length = self.scenario.length.map_or(String::new(), |length| format!(" --length \"{length}\""));
         let system_faults = if self.system_faults { " --system-faults" } else { "" };
         let answer_faults = if self.answer_faults { " --answer-faults" } else { "" };
+        let request_faults = if self.request_faults { " --request-faults" } else { "" };
         let random_faults = match (self.planned, self.peer_faults) {
             (true, _) => "",
             (_, true) => " --peer-faults",
             _ => " --random-faults",
         };
-        format!("{length}{random_faults}{system_faults}{answer_faults}")
+        format!("{length}{random_faults}{system_faults}{answer_faults}{request_faults}")
     }
 }
 
@@ -168,6 +176,9 @@
     /// Add random faults of endpoints and agents that answer more than once, drawn from the seed
     #[arg(long)]
     pub answer_faults: bool,
+    /// Add random requests in two pieces, and ends of processes while they arrive, drawn from the seed
+    #[arg(long)]
+    pub request_faults: bool,
     /// Also write the report as JSON
     #[arg(long, value_name = "FILE")]
     pub json: Option<PathBuf>,
@@ -184,6 +195,7 @@
             peers: self.peer_faults,
             system: self.system_faults,
             answers: self.answer_faults,
+            requests: self.request_faults,
         };
         self.scenario.plan(scenario, self.seed, random_faults)
     }
@@ -226,6 +238,9 @@
         if random_faults.answers {
             plan.add_answer_faults();
         }
+        if random_faults.requests {
+            plan.add_request_faults();
+        }
         if let Some(FaultSelection(numbers)) = &self.faults {
             plan.retain_faults(numbers);
         }
@@ -247,6 +262,8 @@
     pub system: bool,
     /// Faults of endpoints and agents that answer more than once.
     pub answers: bool,
+    /// Requests in two pieces, and ends of processes while they arrive.
+    pub requests: bool,
 }
 
 /// Why an argument could not be parsed.
--- a/crates/micadrum-testkit/src/invariants/completion.rs
+++ b/crates/micadrum-testkit/src/invariants/completion.rs
@@ -92,13 +92,14 @@
         self.report(Invariant::Late, ended_at, Some(id), description);
     }
 
-    /// Checks that clients' connections closed without an answer only where the sender's process exited.
+    /// Checks that clients' connections closed without an answer only where the sender's process was killed.
     pub(super) fn check_unanswered_submissions(&mut self, now: Micros) {
         while let Some(submission) = self.unanswered_submissions.front().cloned()
             && submission.at + MAX_EXIT_DELAY_MICROS < now
         {
             self.unanswered_submissions.pop_front();
-            let exited_at = self.senders.get(&submission.sender).and_then(|sender| sender.exited_at);
+            let sender = self.senders.get(&submission.sender).filter(|sender| sender.may_leave_unanswered);
+            let exited_at = sender.and_then(|sender| sender.exited_at);
             if exited_at.is_none_or(|exited_at| exited_at.abs_diff(submission.at) > MAX_EXIT_DELAY_MICROS) {
                 let description = "its client's connection closed without an answer".to_owned();
                 self.report(Invariant::Lost, submission.at, Some(&submission.id), description);
--- a/crates/micadrum-testkit/src/invariants/mod.rs
+++ b/crates/micadrum-testkit/src/invariants/mod.rs
@@ -87,7 +87,9 @@
     fn observe_environment(&mut self, at: Micros, observation: &Observation) {
         match observation {
             Observation::Ready { sender } => self.ready(at, *sender),
-            Observation::ShutdownRequested { sender, .. } => self.shutdown_requested(at, *sender),
+            Observation::ShutdownRequested { sender, killed } => {
+                self.shutdown_requested(at, *sender, *killed)
+            }
             Observation::Exited { sender, expected } => self.exited(at, *sender, *expected),
             Observation::MachineLost { sender } => self.machine_lost(at, *sender),
             Observation::NotificationsBlocked { sender, until } | Observation::Paused { sender, until } => {
--- a/crates/micadrum-testkit/src/invariants/processes.rs
+++ b/crates/micadrum-testkit/src/invariants/processes.rs
@@ -3,6 +3,9 @@
 use super::{Invariant, InvariantChecker, READY_SLACK_MICROS};
 use crate::observation::Micros;
 
+/// Time from SIGTERM from which on a process may have been killed, in microseconds.
+const TERM_TO_KILL_MICROS: Micros = 3_700_000;
+
 impl InvariantChecker {
     /// Records that a sender is ready.
     pub(super) fn ready(&mut self, at: Micros, sender: u32) {
@@ -14,10 +17,11 @@
     }
 
     /// Records that a sender's process was signalled to exit.
-    pub(super) fn shutdown_requested(&mut self, at: Micros, sender: u32) {
+    pub(super) fn shutdown_requested(&mut self, at: Micros, sender: u32, is_killed: bool) {
         let sender = self.senders.entry(sender).or_default();
         sender.restarting_since.get_or_insert(at);
         sender.is_shutdown_requested = true;
+        sender.graceful_since = (!is_killed).then_some(at);
     }
 
     /// Excuses a sender: its messages do not count as overdue until shortly after `until`.
@@ -32,6 +36,9 @@
         let sender = self.senders.entry(number).or_default();
         sender.restarting_since.get_or_insert(at);
         sender.exited_at = Some(at);
+        // A process that does not end by itself after SIGTERM is killed, and cannot answer any more.
+        let is_graceful = sender.graceful_since.take().is_some_and(|since| at < since + TERM_TO_KILL_MICROS);
+        sender.may_leave_unanswered = !is_graceful;
         if !(sender.is_shutdown_requested && is_expected) {
             let description = format!("sender {number} exited without a request or with an error");
             self.report(Invariant::Crash, at, None, description);
--- a/crates/micadrum-testkit/src/invariants/state.rs
+++ b/crates/micadrum-testkit/src/invariants/state.rs
@@ -106,6 +106,10 @@
     pub(super) excused_until: Micros,
     /// When the latest process exited.
     pub(super) exited_at: Option<Micros>,
+    /// When the process was asked to exit with SIGTERM; `None` if it was not, or was killed.
+    pub(super) graceful_since: Option<Micros>,
+    /// Whether the latest process could not answer its last requests, because it was killed.
+    pub(super) may_leave_unanswered: bool,
     /// Whether the process was signalled to exit.
     pub(super) is_shutdown_requested: bool,
 }
--- a/crates/micadrum-testkit/src/invariants/tests.rs
+++ b/crates/micadrum-testkit/src/invariants/tests.rs
@@ -175,6 +175,27 @@
     }
 }
 
+/// Guards against a client's connection that closes without an answer when its sender exits after SIGTERM.
+#[test]
+fn reports_a_connection_closed_without_an_answer_at_a_graceful_exit() {
+    let mut run = TestRun::default();
+    let (id, class, deadline) = ("a".to_owned(), Charge, 16 * S);
+    run.observe(Observation::Submitted {
+        id: id.clone(),
+        operation: 0,
+        sender: 0,
+        class,
+        vehicle: None,
+        deadline,
+    });
+    run.at(S).observe(Observation::ShutdownRequested { sender: 0, killed: false });
+    run.at(2 * S).observe(Observation::Answered { id, answer: SubmissionAnswer::ConnectionClosed });
+    run.observe(Observation::Exited { sender: 0, expected: true });
+    run.at(3 * S).observe(Observation::Ready { sender: 0 });
+    run.at(5 * S).observe(Observation::Ready { sender: 1 });
+    assert_eq!(run.violations(), [Invariant::Lost]);
+}
+
 /// Guards against a message that ends too long after its deadline.
 #[test]
 fn reports_a_message_that_ends_after_its_limit_as_late() {
--- a/crates/micadrum-testkit/src/live/mod.rs
+++ b/crates/micadrum-testkit/src/live/mod.rs
@@ -51,6 +51,7 @@
         run_scenario(&world, |_, _| {}).await?;
         let now = world.now();
         let repeated_answers = world.repeated_answers();
+        let cut_requests = world.cut_requests();
         let mut recorder = world.into_recorder();
         let verdict = recorder.verdict(now, plan.scenario.has_peers());
         let mut injected = injected_counts(&fleet.nodes)?;
@@ -60,6 +61,9 @@
         if repeated_answers > 0 {
             injected.insert("repeated-answer", repeated_answers);
         }
+        if cut_requests > 0 {
+            injected.insert("cut-request", cut_requests);
+        }
         let mut report = Report::new(&plan, &recorder, verdict, true);
         report.results.injected = injected;
         Ok(report)
--- a/crates/micadrum-testkit/src/plan/description.rs
+++ b/crates/micadrum-testkit/src/plan/description.rs
@@ -27,6 +27,11 @@
             FaultKind::Full | FaultKind::Errors | FaultKind::Spoil | FaultKind::Reset => {
                 vec![format!("{:.0}% of the calls", self.call_share * 100.0)]
             }
+            FaultKind::CutRequests => vec![format!(
+                "{:.0}% of the requests cut, up to {} apart",
+                self.call_share * 100.0,
+                self.delay
+            )],
             FaultKind::RepeatAnswers | FaultKind::RepeatAgentAnswers => vec![format!(
                 "{:.0}% of the answers, up to {} after {:?}",
                 self.call_share * 100.0,
--- a/crates/micadrum-testkit/src/plan/mod.rs
+++ b/crates/micadrum-testkit/src/plan/mod.rs
@@ -9,6 +9,7 @@
 mod random;
 mod random_answer_faults;
 mod random_faults;
+mod random_request_faults;
 mod random_system_faults;
 
 pub use arrivals::Arrivals;
--- a/crates/micadrum-testkit/src/world/clients.rs
+++ b/crates/micadrum-testkit/src/world/clients.rs
@@ -1,6 +1,7 @@
 //! The clients: gantry, billing and account programs that submit messages to the senders over HTTP.
 use super::World;
 use super::messages::{MessageOutcome, SubmittedMessage};
+use super::request_cuts::RequestCut;
 use crate::http::HttpConnection;
 use crate::observation::{Micros, Observation, SubmissionAnswer};
 use crate::plan::{Arrival, SeededRng, TENANTS};
@@ -11,10 +12,12 @@
 use std::time::Duration;
 use tokio::sync::{Mutex, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// The longest time that a client waits for a connection or an answer.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
+/// The longest time from the last byte of a request to the close of its connection that it may have crossed.
+const MAX_CROSSING: Duration = Duration::from_millis(30);
 const MAX_RETRIES: usize = 2;
 /// The shortest time to its deadline with which a client submits a message.
 const MIN_REMAINING_US: Micros = 500_000;
@@ -187,7 +190,8 @@
         };
         let submitted = || self.submitted(&id, sender, now + remaining);
         self.world.observe(submitted());
-        let response = self.send_with_retry(sender, connection, &request).await;
+        let cut = self.world.draw_request_cut(sender, &id, request.len());
+        let response = self.send_with_retry(sender, connection, &request, cut).await;
         self.world.observe(Observation::Answered { id: id.clone(), answer: response });
         if has_duplicate && response == SubmissionAnswer::Accepted {
             let delay = Duration::from_secs_f64(duplicate_delay);
@@ -243,46 +247,92 @@
         request
     }
 
-    /// Sends a request, and retries it on a new connection if a reused connection was closed without an
-    /// answer.
+    /// Sends a request, in two pieces if `cut` says so, and retries it whole on a new connection if the
+    /// connection was closed before the sender can have answered.
     async fn send_with_retry(
         &self,
         sender: u32,
         mut connection: ClientConnection,
         request: &[u8],
+        cut: Option<RequestCut>,
     ) -> SubmissionAnswer {
-        let mut response = self.send(sender, &mut connection, request).await;
-        if response == SubmissionAnswer::ConnectionClosed
-            && connection.is_reused
+        let mut exchange = self.send(sender, &mut connection, request, cut).await;
+        if matches!(exchange, Exchange::ClosedBeforeEnd | Exchange::Crossed)
             && let Some(new) = self.clients.new_connection(self.world, sender).await
         {
             connection = new;
-            response = self.send(sender, &mut connection, request).await;
+            exchange = self.send(sender, &mut connection, request, None).await;
         }
         self.clients.release(sender, connection);
-        response
+        match exchange {
+            Exchange::Ended(answer) => answer,
+            // A request that was not written completely cannot have been accepted.
+            Exchange::ClosedBeforeEnd => SubmissionAnswer::Rejected,
+            // A sender that is shutting down may close a connection on which it has read nothing, and refuse
+            // the new one: the outcome is unknown, as after a timeout.
+            Exchange::Crossed if !self.world.senders[sender as usize].is_accepting() => {
+                SubmissionAnswer::TimedOut
+            }
+            Exchange::Crossed => SubmissionAnswer::ConnectionClosed,
+        }
     }
 
-    async fn send(&self, sender: u32, connection: &mut ClientConnection, request: &[u8]) -> SubmissionAnswer {
+    async fn send(
+        &self,
+        sender: u32,
+        connection: &mut ClientConnection,
+        request: &[u8],
+        cut: Option<RequestCut>,
+    ) -> Exchange {
         let http = &mut connection.http;
+        connection.is_reusable = false;
+        let mut rest = request;
+        if let Some(RequestCut { first_bytes, pause }) = cut {
+            let (first, second) = request.split_at(first_bytes);
+            rest = second;
+            if http.write(first).await.is_err() {
+                return Exchange::ClosedBeforeEnd;
+            }
+            // The sender may answer or close before it has the whole request.
+            match timeout(pause, http.read(true)).await {
+                Err(_) => {}
+                Ok(Ok(Some(answer))) => return Exchange::Ended(submission_answer(answer.status)),
+                Ok(_) => return Exchange::ClosedBeforeEnd,
+            }
+        }
+        let written_at = Instant::now();
         let exchange = async {
-            http.write(request).await.ok()?;
+            http.write(rest).await.ok()?;
             http.read(true).await.ok().flatten()
         };
-        let answer = timeout(REQUEST_TIMEOUT, exchange).await;
-        connection.is_reusable = false;
-        let answer = match answer {
+        let answer = match timeout(REQUEST_TIMEOUT, exchange).await {
             Ok(Some(answer)) => answer,
-            Ok(None) => return SubmissionAnswer::ConnectionClosed,
-            Err(_) => return SubmissionAnswer::TimedOut,
+            Ok(None) if written_at.elapsed() < MAX_CROSSING => return Exchange::Crossed,
+            Ok(None) => return Exchange::Ended(SubmissionAnswer::ConnectionClosed),
+            Err(_) => return Exchange::Ended(SubmissionAnswer::TimedOut),
         };
         let is_accepting = self.world.senders[sender as usize].is_accepting();
         connection.is_reusable = answer.field("connection") != Some("close") && is_accepting;
-        match answer.status {
-            200 | 202 => SubmissionAnswer::Accepted,
-            429 | 503 => SubmissionAnswer::Rejected,
-            _ => SubmissionAnswer::Failed,
-        }
+        Exchange::Ended(submission_answer(answer.status))
+    }
+}
+
+/// How an attempt to submit a message on one connection ended.
+enum Exchange {
+    /// With an answer, or without one in a way that does not permit to send the request again.
+    Ended(SubmissionAnswer),
+    /// The sender closed the connection before the request was written completely.
+    ClosedBeforeEnd,
+    /// The connection closed so soon after the last byte that the two may have crossed.
+    Crossed,
+}
+
+/// Returns what an answer with this status code means.
+fn submission_answer(status: u16) -> SubmissionAnswer {
+    match status {
+        200 | 202 => SubmissionAnswer::Accepted,
+        429 | 503 => SubmissionAnswer::Rejected,
+        _ => SubmissionAnswer::Failed,
     }
 }
 
@@ -322,7 +372,6 @@
 /// A client's connection to a sender.
 struct ClientConnection {
     http: HttpConnection,
-    is_reused: bool,
     is_reusable: bool,
 }
 
@@ -345,7 +394,7 @@
             let idle = self.idle.borrow_mut().get_mut(&sender).and_then(Vec::pop);
             let Some(mut http) = idle else { return self.new_connection(world, sender).await };
             if !http.is_closed().await {
-                return Some(ClientConnection { http, is_reused: true, is_reusable: false });
+                return Some(ClientConnection { http, is_reusable: false });
             }
         }
     }
@@ -355,7 +404,7 @@
         let connecting = world.network.connect(Host::Sender(sender), address);
         let connection = timeout(REQUEST_TIMEOUT, connecting).await.ok()?.ok()?;
         let http = HttpConnection::new(connection);
-        Some(ClientConnection { http, is_reused: false, is_reusable: false })
+        Some(ClientConnection { http, is_reusable: false })
     }
 
     /// Keeps a connection for reuse, if it is reusable and the sender has fewer than the maximum of idle
--- a/crates/micadrum-testkit/src/world/faults/mod.rs
+++ b/crates/micadrum-testkit/src/world/faults/mod.rs
@@ -41,6 +41,7 @@
         FaultKind::WallClock => sender_faults::step_wall_clocks(world, fault),
         FaultKind::Pause => sender_faults::pause(world, fault, until).await,
         FaultKind::RepeatAgentAnswers => discovery_faults::repeat_answers(world, fault, until).await,
+        FaultKind::CutRequests => sender_faults::cut_requests(world, fault, until).await,
         FaultKind::Deaf => discovery_faults::ignore_notifications(world, fault, until),
         FaultKind::ListSilent => discovery_faults::silence(world, fault, until),
         FaultKind::ListLag => discovery_faults::lag(world, fault, until).await,
--- a/crates/micadrum-testkit/src/world/faults/sender_faults.rs
+++ b/crates/micadrum-testkit/src/world/faults/sender_faults.rs
@@ -5,6 +5,7 @@
 use crate::plan::{PlannedFault, SeededRng};
 use crate::scenario::{FaultKind, FolderContent, StopMethod};
 use crate::world::World;
+use crate::world::request_cuts::RequestCuts;
 use crate::world::senders::{PowerRecovery, SyncBehavior};
 use std::time::Duration;
 use tokio::time::sleep;
@@ -44,6 +45,18 @@
     PowerRecovery { downtime: (!fault.lost_senders.contains(&sender)).then_some(downtime), clock_offset_us }
 }
 
+/// Has clients of the senders send requests in two pieces until `until`.
+pub(super) async fn cut_requests(world: &World, fault: &PlannedFault, until: Micros) {
+    let set = |cuts: Option<RequestCuts>| {
+        for sender in &fault.senders {
+            world.senders[*sender as usize].request_cuts.set(cuts);
+        }
+    };
+    set(Some(RequestCuts::of(fault)));
+    world.wait_until(until).await;
+    set(None);
+}
+
 /// Replaces the machines of senders, so that their state folders are lost.
 pub(super) fn machine_lost(world: &World, fault: &PlannedFault) {
     for sender in &fault.senders {
--- a/crates/micadrum-testkit/src/world/mod.rs
+++ b/crates/micadrum-testkit/src/world/mod.rs
@@ -7,6 +7,7 @@
 pub mod messages;
 pub mod platform;
 pub mod repeated_answers;
+mod request_cuts;
 mod sender_config;
 pub mod senders;
 
@@ -101,6 +102,7 @@
     discovery_idle_at: Cell<Micros>,
     next_call: Cell<u64>,
     repeated_answers: Cell<u64>,
+    cut_requests: Cell<u64>,
     repetition_random: RefCell<SeededRng>,
     next_route: Cell<u32>,
 }
@@ -143,6 +145,7 @@
             discovery_idle_at: Cell::default(),
             next_call: Cell::new(0),
             repeated_answers: Cell::default(),
+            cut_requests: Cell::default(),
             repetition_random: RefCell::new(SeededRng::new(plan.seed, "repeated answers")),
             next_route: Cell::new(route_count),
             plan,
--- a/crates/micadrum-testkit/src/world/senders/mod.rs
+++ b/crates/micadrum-testkit/src/world/senders/mod.rs
@@ -5,6 +5,7 @@
 
 pub use fleet::{Fleet, Links, LogSink, OperatorFile, ProcessExit, SyncBehavior};
 
+use super::request_cuts::RequestCuts;
 use super::{World, platform};
 use crate::history::HistoryEvent;
 use crate::http::HttpConnection;
@@ -44,6 +45,8 @@
     is_accepting: Cell<bool>,
     /// The time since which the sender has been down, or `None` while it runs.
     down_since: Cell<Option<Micros>>,
+    /// How its clients cut their requests at present.
+    pub(super) request_cuts: Cell<Option<RequestCuts>>,
     commands: RefCell<Option<UnboundedSender<SenderCommand>>>,
 }
 
--- a/crates/micadrum-testkit/tests/soak.rs
+++ b/crates/micadrum-testkit/tests/soak.rs
@@ -41,3 +41,11 @@
     assert_eq!(summary.failing, [0; 0]);
     assert!(summary.injected["repeated-answer"] > 20, "{:?}", summary.injected);
 }
+
+/// Guards against requests without an answer when they arrive in pieces while their senders end.
+#[test]
+fn a_short_soak_with_cut_requests_has_no_violations() {
+    let summary = soak(41..=44, Plan::add_request_faults);
+    assert_eq!(summary.failing, [0; 0]);
+    assert!(summary.injected["cut-request"] > 100, "{:?}", summary.injected);
+}
