Random scenarios: requests cut at any byte across SIGTERM, handovers and kills

Need: the test kit has no fault for a handover, so requests in pieces across one were played by fixed tests only.

Change: the seeded scenarios of real processes send the first piece of a request, cut at any byte, before each SIGTERM and each handover, and the rest up to 0.9 s after SIGTERM or after the handover; a request whose last byte was written to an open connection needs a response unless the process was killed. The cuts are drawn apart, so that the other choices of a seed stay.

--- a/tests/sockets/random_scenarios.rs
+++ b/tests/sockets/random_scenarios.rs
@@ -44,6 +44,40 @@
     activity: Notify,
     /// Once true, the endpoints deliver each message.
     fault_free: Cell<bool>,
+    /// Draws where requests are cut, apart from all other choices.
+    cuts: Random,
+    /// Descriptions of requests that were cut and got no response.
+    unanswered: RefCell<Vec<String>>,
+}
+
+/// A request of which the first piece is written.
+struct HalfRequest {
+    client: RawClient,
+    id: String,
+    rest: String,
+}
+
+/// Sends the first piece of a request, cut at any byte.
+async fn begin_submission(scenario: &Scenario, to: SocketAddr, id: String) -> Option<HalfRequest> {
+    let mut client = RawClient(TcpStream::connect(to).await.ok()?);
+    let text = RawClient::request_text(&id, "keyed", "");
+    scenario.checker.borrow_mut().record_submission(&id, "keyed", "", Duration::from_secs(30));
+    let (first, rest) = text.split_at(1 + scenario.cuts.below(text.len() as u32 - 1) as usize);
+    client.0.write_all(first.as_bytes()).await.ok()?;
+    Some(HalfRequest { client, id, rest: rest.to_owned() })
+}
+
+/// Sends the rest of a request, and records its response. `interruption` describes what came between the pieces
+/// if a response is due.
+async fn finish_submission(scenario: &Scenario, half: HalfRequest, interruption: Option<&str>) {
+    let HalfRequest { mut client, id, rest } = half;
+    let was_open = client.0.write_all(rest.as_bytes()).await.is_ok();
+    let response = timeout(TEST_TIMEOUT, HttpMessage::read(&mut client.0)).await.ok().flatten();
+    if let (true, None, Some(interruption)) = (was_open, &response, interruption) {
+        let text = format!("no response to {id}, cut {} bytes before its end by {interruption}", rest.len());
+        scenario.unanswered.borrow_mut().push(text);
+    }
+    scenario.checker.borrow_mut().record_response(&id, response.map(|response| response.status()));
 }
 
 /// Accepts the connections to an endpoint, and serves each in a task of its own.
@@ -179,6 +213,8 @@
         checker: RefCell::default(),
         activity: Notify::new(),
         fault_free: Cell::new(false),
+        cuts: Random(RefCell::new(ChaCha8Rng::seed_from_u64(!seed))),
+        unanswered: RefCell::default(),
     });
     let mut platform = Platform::start().await;
     let (mut notifications, shared) = (platform.take_notifications(), scenario.clone());
@@ -246,19 +282,36 @@
                 scenario.checker.borrow_mut().allow_late_ends();
             }
             11 => {
+                let half = begin_submission(&scenario, node.address, format!("m{n}")).await;
+                n += 1;
                 let mut old = node.replace().await;
+                if let Some(half) = half {
+                    finish_submission(&scenario, half, Some("a handover")).await;
+                }
                 assert!(
                     old.exits_successfully().await,
                     "seed {seed}: the replaced process exited with a failure"
                 );
             }
             12 => {
+                let is_killed = scenario.random.below(2) == 1;
+                let half = begin_submission(&scenario, node.address, format!("m{n}")).await;
+                n += 1;
                 node.terminate();
                 let (shared, to, id) = (scenario.clone(), node.address, format!("m{n}"));
                 n += 1;
                 clients.spawn_local(async move { submit(&shared, to, &id, "unsafe", "").await });
+                if let Some(half) = half {
+                    let shared = scenario.clone();
+                    let pause = Duration::from_millis(u64::from(scenario.cuts.below(900)));
+                    clients.spawn_local(async move {
+                        sleep(pause).await;
+                        let interruption = (!is_killed).then_some("SIGTERM");
+                        finish_submission(&shared, half, interruption).await;
+                    });
+                }
                 // Wait for the process to exit, or kill it during the shutdown.
-                if scenario.random.below(2) == 0 {
+                if !is_killed {
                     assert!(
                         node.exits_successfully().await,
                         "seed {seed}: the process exited with a failure after SIGTERM"
@@ -286,6 +339,7 @@
     if !all_finished {
         violations.push(format!("Lost: {:?}", scenario.checker.borrow().unfinished()));
     }
+    violations.append(&mut scenario.unanswered.borrow_mut());
     violations.iter_mut().for_each(|line| *line = format!("seed {}: {line}", scenario.seed));
     violations
 }
