Test kit: a running sender may not close a new connection without an answer

Found when the change was read again: with the requests in pieces, a client also sent its request again if a new connection closed within 30 ms of the last byte. Before, such a close by a running sender broke the rule; the check had become weaker there. A request is sent again after a crossing only on a used connection, or if its sender is shutting down.

--- a/crates/micadrum-testkit/src/world/clients.rs
+++ b/crates/micadrum-testkit/src/world/clients.rs
@@ -257,9 +257,13 @@
         cut: Option<RequestCut>,
     ) -> SubmissionAnswer {
         let mut exchange = self.send(sender, &mut connection, request, cut).await;
-        if matches!(exchange, Exchange::ClosedBeforeEnd | Exchange::Crossed)
-            && let Some(new) = self.clients.new_connection(self.world, sender).await
-        {
+        let may_send_again = match exchange {
+            Exchange::Ended(_) => false,
+            Exchange::ClosedBeforeEnd => true,
+            // A sender that is running may close a connection only between requests.
+            Exchange::Crossed => connection.is_reused || !self.world.senders[sender as usize].is_accepting(),
+        };
+        if may_send_again && let Some(new) = self.clients.new_connection(self.world, sender).await {
             connection = new;
             exchange = self.send(sender, &mut connection, request, None).await;
         }
@@ -372,6 +376,7 @@
 /// A client's connection to a sender.
 struct ClientConnection {
     http: HttpConnection,
+    is_reused: bool,
     is_reusable: bool,
 }
 
@@ -394,7 +399,7 @@
             let idle = self.idle.borrow_mut().get_mut(&sender).and_then(Vec::pop);
             let Some(mut http) = idle else { return self.new_connection(world, sender).await };
             if !http.is_closed().await {
-                return Some(ClientConnection { http, is_reusable: false });
+                return Some(ClientConnection { http, is_reused: true, is_reusable: false });
             }
         }
     }
@@ -404,7 +409,7 @@
         let connecting = world.network.connect(Host::Sender(sender), address);
         let connection = timeout(REQUEST_TIMEOUT, connecting).await.ok()?.ok()?;
         let http = HttpConnection::new(connection);
-        Some(ClientConnection { http, is_reusable: false })
+        Some(ClientConnection { http, is_reused: false, is_reusable: false })
     }
 
     /// Keeps a connection for reuse, if it is reusable and the sender has fewer than the maximum of idle
