--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,6 +5,7 @@
 mod settings;
 mod world;
 
+mod batch_size;
 mod upgrades;
 
 use std::path::Path;
@@ -25,6 +26,7 @@
         }
     };
     match name.as_str() {
+        "batch-size" => batch_size::run(&case),
         "upgrades" => upgrades::run(&case),
         _ => case.end(CANNOT_RUN, "no such case"),
     }
