--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -38,12 +38,14 @@
 #[derive(Clone)]
 pub struct Record {
     pub start: Instant,
-    file: Arc<Mutex<File>>,
+    /// `None` once the verdict is written.
+    file: Arc<Mutex<Option<File>>>,
 }
 
 impl Record {
     pub fn new(path: &Path) -> io::Result<Self> {
-        Ok(Self { start: Instant::now(), file: Arc::new(Mutex::new(File::create(path)?)) })
+        let file = Arc::new(Mutex::new(Some(File::create(path)?)));
+        Ok(Self { start: Instant::now(), file })
     }
 
     pub fn line(&self, text: impl AsRef<str>) {
@@ -53,9 +55,16 @@
     pub fn line_at(&self, at: Instant, text: impl AsRef<str>) {
         let time = at.saturating_duration_since(self.start).as_secs_f64();
         let line = format!("{time:9.4} {}", text.as_ref());
-        let mut file = self.file.lock().unwrap();
-        let _ = writeln!(file, "{line}");
-        println!("{line}");
+        if let Some(file) = &mut *self.file.lock().unwrap() {
+            let _ = writeln!(file, "{line}");
+            println!("{line}");
+        }
+    }
+
+    /// Writes the last line.
+    fn close(&self, text: &str) {
+        self.line(text);
+        *self.file.lock().unwrap() = None;
     }
 }
 
@@ -80,7 +89,7 @@
     /// Ends the run with a verdict, and all processes that it started.
     pub fn end(&self, code: i32, verdict: &str) -> ! {
         let name = ["held", "broken", "could not run"][code as usize];
-        self.record.line(format!("verdict: {name}: {verdict}"));
+        self.record.close(&format!("verdict: {name}: {verdict}"));
         end_processes();
         let _ = fs::remove_dir_all(&self.folder);
         exit(code)
@@ -100,6 +109,11 @@
 
     /// Starts the sender with the command of the deploy file, which replaces the shell by `exec`.
     pub fn start_sender(&self, config: &Path, log: &str) -> Sender {
+        self.start_sender_with(config, None, log)
+    }
+
+    /// The same, with an operator's file.
+    pub fn start_sender_with(&self, config: &Path, operator: Option<&Path>, log: &str) -> Sender {
         let deploy = self.expect(fs::read_to_string(self.root.join("deploy/balancer.toml")), "deploy file");
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")?.strip_suffix('"'));
         let run = run.unwrap_or_else(|| self.end(CANNOT_RUN, "no run command in the deploy file"));
@@ -109,6 +123,7 @@
         command.stdout(log.try_clone().unwrap()).stderr(log);
         command.env("PROXY_CONFIG", config).env("PROXY_STATE", self.folder.join("state"));
         command.env_remove("MICADRUM_TRACE").env_remove("MICADRUM_OPERATOR");
+        command.envs(operator.map(|file| ("MICADRUM_OPERATOR", file)));
         unsafe {
             command.pre_exec(|| {
                 prctl(PR_SET_PDEATHSIG, SIGKILL as u64, 0, 0, 0);
@@ -172,6 +187,13 @@
         unsafe { kill(self.child.id() as i32, signal) };
     }
 
+    /// SIGKILL.
+    pub fn kill(&mut self) {
+        self.signal(SIGKILL);
+        let _ = self.child.wait();
+        self.has_ended();
+    }
+
     /// SIGTERM, and SIGKILL 3.7 s later if the process is still there.
     pub fn end_gracefully(&mut self) {
         self.signal(SIGTERM);
@@ -180,9 +202,7 @@
             sleep_ms(10);
         }
         if !self.has_ended() {
-            self.signal(SIGKILL);
-            let _ = self.child.wait();
-            self.has_ended();
+            self.kill();
         }
     }
 
