--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod world;
 
 mod batch_size;
+mod order_handover;
 mod refused_sent;
 mod upgrades;
 
@@ -28,6 +29,7 @@
     };
     match name.as_str() {
         "batch-size" => batch_size::run(&case),
+        "order-handover" => order_handover::run(&case),
         "refused-sent" => refused_sent::run(&case),
         "upgrades" => upgrades::run(&case),
         _ => case.end(CANNOT_RUN, "no such case"),
