--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,6 +5,7 @@
 mod settings;
 mod world;
 
+mod batch_reload;
 mod batch_size;
 mod order_handover;
 mod refused_sent;
@@ -31,6 +32,7 @@
         "batch-size" => batch_size::run(&case),
         "order-handover" => order_handover::run(&case),
         "refused-sent" => refused_sent::run(&case),
+        "batch-reload" => batch_reload::run(&case),
         "upgrades" => upgrades::run(&case),
         _ => case.end(CANNOT_RUN, "no such case"),
     }
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -17,6 +17,7 @@
 pub const BROKEN: i32 = 1;
 pub const CANNOT_RUN: i32 = 2;
 
+pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 const PR_SET_PDEATHSIG: i32 = 1;
