Review: one time-out in an outage brings no slow start (case 10)

Rule: a partner that comes back cold "must not be pushed over by senders that had seen calls or probes fail or be refused there".

Tried: a quiet partner that takes calls and answers none for 9 s, in which the sender's one call times out, and 26 charges for it half a second after its return. TROUBLE=0 plays the same without the hang.

A route leaves the healthy state after two time-outs in a row, not after one.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -10,4 +10,4 @@
         exit 2
     fi
 done
-exec "$program" batch-reload "$root" "$here/record.txt"
+exec "$program" cold-partner "$root" "$here/record.txt"
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,6 +5,7 @@
 mod settings;
 mod world;
 
+mod cold_partner;
 mod order_handover;
 mod refused_sent;
 mod upgrades;
@@ -29,6 +30,7 @@
     };
     match name.as_str() {
         "order-handover" => order_handover::run(&case),
+        "cold-partner" => cold_partner::run(&case),
         "refused-sent" => refused_sent::run(&case),
         "wrong-partner" => wrong_partner::run(&case),
         "upgrades" => upgrades::run(&case),
