--- a/review/standin-2/src/upgrades.rs
+++ b/review/standin-2/src/upgrades.rs
@@ -89,6 +89,10 @@
             crash = Some((upgrade, ended));
             case.record_log(&format!("sender-{}.log", upgrade - 1));
             case.record_log(&format!("sender-{upgrade}.log"));
+            let log = std::fs::read_to_string(case.folder.join(format!("sender-{upgrade}.log")));
+            if log.is_ok_and(|text| text.contains("cannot listen")) {
+                case.end(CANNOT_RUN, "the second address was taken");
+            }
             serving = new;
             break;
         }
