--- a/review/standin-2/src/order_handover.rs
+++ b/review/standin-2/src/order_handover.rs
@@ -12,6 +12,11 @@
 const SLACK: Duration = Duration::from_millis(50);
 /// The call of the first message ends by a time-out 3.6 s after it was sent; the process is replaced before.
 const REPLACED_AFTER_MS: u64 = 3_100;
+/// The other partners, which answer: one endpoint of four hangs.
+const OTHERS: [u32; 3] = [4, 5, 6];
+/// How many messages the other partners get before the process is replaced, one every 0.2 s. With as many after it,
+/// the one that hangs gets 2 of 26 messages.
+const OTHER_MESSAGES: u64 = 12;
 /// How long the partner takes calls and answers none.
 const HANG: Duration = Duration::from_secs(9);
 
@@ -23,8 +28,14 @@
 
 pub fn run(case: &Case) -> ! {
     let (listener, endpoint) = listen();
-    let members =
-        [Member { id: "s-1".to_owned(), address: endpoint, flavor: "surgery", cell: 3, phase: "SERVING" }];
+    let mut members = vec![Member {
+        id: "s-1".to_owned(),
+        address: endpoint,
+        flavor: "surgery",
+        cell: 3,
+        phase: "SERVING",
+    }];
+    members.extend(OTHERS.map(|cell| sound_partner(&format!("s-{cell}"), "depot", cell, 120)));
     let agent = Agent::start(&members, 0, &case.record);
     let [first, second] = [1, 2].map(|_| {
         let mut message = Message::new(new_id(), "result", "hospital", 3, 11.0);
@@ -54,7 +65,15 @@
             case.end(CANNOT_RUN, "a message was not taken on");
         }
     }
-    sleep_ms(REPLACED_AFTER_MS);
+    let mut hand_in_others = || {
+        for number in 0..OTHER_MESSAGES {
+            let dest = OTHERS[number as usize % OTHERS.len()];
+            let _ = client.hand_in(&Message::new(new_id(), "order", "practice", dest, 8.0));
+            sleep_ms(200);
+        }
+    };
+    hand_in_others();
+    sleep_ms(REPLACED_AFTER_MS - 200 * OTHER_MESSAGES);
     let mut new = None;
     if case.trouble {
         config.management = free_address();
@@ -68,7 +87,7 @@
     while Instant::now() < limit && seen.lock().unwrap().second.is_none() {
         sleep_ms(10);
     }
-    sleep_ms(300);
+    hand_in_others();
     case.record_log("old.log");
     if new.is_some() {
         case.record_log("new.log");
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -474,6 +474,16 @@
     }
 }
 
+/// Starts a sound partner with one endpoint that answers each call with 200, and returns its entry.
+pub fn sound_partner(id: &str, flavor: &'static str, cell: u32, work_ms: u64) -> Member {
+    let (listener, address) = listen();
+    http::serve(listener, move |_| {
+        sleep_ms(work_ms);
+        answer(200)
+    });
+    Member { id: id.to_owned(), address, flavor, cell, phase: "SERVING" }
+}
+
 /// A new id or key: 16 hexadecimal digits.
 pub fn new_id() -> String {
     static NEXT: AtomicU64 = AtomicU64::new(1);
