Review: case 10 stays inside the shares of a hang and of a clump

Tried: the partner had all of the traffic, and the clump 84% of the messages. Four other partners now get 12 messages a second, and the script could not run if a share is too large.

--- a/review/standin-2/src/cold_partner.rs
+++ b/review/standin-2/src/cold_partner.rs
@@ -3,6 +3,7 @@
 use crate::http::{self, Reply, Request, answer};
 use crate::settings;
 use crate::world::*;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Barrier, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -22,6 +23,12 @@
 /// The time of a call at the warm partner, in seconds.
 const WORK_S: f64 = 0.15;
 
+/// The other partners, which answer, and get 12 messages a second together.
+const OTHERS: [u32; 4] = [1, 2, 3, 4];
+/// The shares of the messages that the pages allow for a partner that hangs, and for clumps.
+const HANGING_SHARE: f64 = 0.27;
+const CLUMP_SHARE: f64 = 0.17;
+
 #[derive(Default)]
 struct Partner {
     hang_from: Option<Instant>,
@@ -89,8 +96,14 @@
 
 pub fn run(case: &Case) -> ! {
     let (listener, endpoint) = listen();
-    let members =
-        [Member { id: "s-1".to_owned(), address: endpoint, flavor: "leasing", cell: 9, phase: "SERVING" }];
+    let mut members = vec![Member {
+        id: "s-1".to_owned(),
+        address: endpoint,
+        flavor: "leasing",
+        cell: 9,
+        phase: "SERVING",
+    }];
+    members.extend(OTHERS.map(|cell| sound_partner(&format!("s-o{cell}"), "leasing", cell, 150)));
     let agent = Agent::start(&members, 0, &case.record);
     let partner: Arc<Mutex<Partner>> = Arc::default();
     let (served, record) = (partner.clone(), case.record.clone());
@@ -109,6 +122,22 @@
     let _sender = case.start_sender(&path, "sender.log");
     case.wait_ready(listen);
 
+    let goes_on = Arc::new(AtomicBool::new(true));
+    let others: Vec<_> = OTHERS
+        .map(|cell| {
+            let (goes_on, record) = (goes_on.clone(), case.record.clone());
+            thread::spawn(move || {
+                let (mut client, mut taken_on) = (Client::quiet(listen, &record), 0);
+                while goes_on.load(Ordering::Relaxed) {
+                    let message = Message::new(new_id(), "charge", "parkirisca", cell, 15.0);
+                    let response = client.hand_in(&message);
+                    taken_on += usize::from(response.is_ok_and(|response| response.status == 202));
+                    sleep_ms(330);
+                }
+                taken_on
+            })
+        })
+        .into();
     let mut client = Client::new(listen, &case.record);
     let mut hand_in = || {
         let message = Message::new(new_id(), "charge", "cestnina", 9, 15.0);
@@ -145,8 +174,20 @@
     for client in clients {
         let _ = client.join();
     }
-    sleep_ms(16_500);
+    sleep_ms(2_000);
+    goes_on.store(false, Ordering::Relaxed);
+    let others: usize = others.into_iter().filter_map(|client| client.join().ok()).sum();
+    sleep_ms(14_500);
     case.record_log("sender.log");
+    let all = (others + 5 + CLUMP) as f64;
+    let shares = [(5 + CLUMP) as f64 / all, CLUMP as f64 / all];
+    case.record.line(format!(
+        "shares of the messages: {:.3} for the partner, {:.3} in the clump",
+        shares[0], shares[1]
+    ));
+    if shares[0] > HANGING_SHARE || shares[1] > CLUMP_SHARE {
+        case.end(CANNOT_RUN, "the partner or the clump has more of the messages than the pages allow");
+    }
     let partner = partner.lock().unwrap();
     if case.trouble && !partner.is_told {
         case.end(CANNOT_RUN, "the sender did not give up its call while the partner hung");
