--- a/review/standin-2/src/refused_sent.rs
+++ b/review/standin-2/src/refused_sent.rs
@@ -8,12 +8,13 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-const OPERATOR: &str = "[durability]\noutlasts = \"machine\"\ndelay = \"50 ms\"\n";
-const FAILED_UPGRADES: usize = 8;
-const CLIENTS: usize = 10;
+const OPERATOR: &str = "[durability]\noutlasts = \"machine\"\ndelay = \"100 ms\"\n";
+const FAILED_UPGRADES: usize = 1;
+/// Some 70 messages a second.
+const CLIENTS: usize = 20;
 const PARTNERS: [u32; 3] = [4, 5, 6];
 /// How long a call takes at a partner, in milliseconds.
-const WORK_MS: u64 = 400;
+const WORK_MS: u64 = 200;
 /// "After a refusal, clients hand a message in again up to 2 times, after a wait."
 const AGAIN: usize = 2;
 const AGAIN_AFTER_MS: u64 = 400;
@@ -66,7 +67,7 @@
                 let mut client = Client::quiet(listen, &record);
                 while goes_on.load(Ordering::Relaxed) {
                     hand_in_charge(&mut client, PARTNERS[number % PARTNERS.len()], &charges);
-                    sleep_ms(150 + 10 * number as u64);
+                    sleep_ms(150 + 5 * number as u64);
                 }
             })
         })
