Cold destinations: a single failure binds its route until the slow start is over

The partner falls, and accepted charges end as failed.

Cause: a route left Healthy only after two time-outs, four failures or a learned share over 0.65 in `record_failure`; one failure or one unexplained refusal bound nothing, and nothing bound the ramp after it. The class: a sender is told by its first failure, whatever the health is.

From the first failed or unexplained refused call on a route makes no more calls in an overload window than its share of what a cold destination bears (the operators' N + 3 x root of N + 3); if the next success comes more than two windows after the last one, the limit grows for the length of a slow start. It holds for endpoints and for shared routes, over restarts and handovers (no stored field changed: the count of failures is kept), and an overdue call that a process leaves behind counts as failed. The expected rate is the one before the failures.

Before: the three new tests in tests/failures.rs failed: "TimedOut, kind 0: 30 calls", "30 calls, restarted after 1000000 us", "30 calls". `is_restricted` takes the settings now, so two calls in src/restore/tests.rs name them.

--- a/src/decision/events.rs
+++ b/src/decision/events.rs
@@ -97,7 +97,7 @@
 
     fn apply_endpoints(&mut self, entries: &[EndpointEntry], is_snapshot: bool) {
         self.discovery_failures = 0;
-        let settings = &self.settings;
+        let (now, settings) = (self.now, &self.settings);
         let shares_limit =
             |kind: KindId| settings.kinds.get(kind.0).is_some_and(|kind| !kind.limits_per_endpoint);
         // The capacity hint applies to the destination's route if its endpoints share a limit.
@@ -105,7 +105,9 @@
             let enforces_limit = endpoint.is_none() == shares_limit(entry.kind);
             let hinted = settings.capacity_hints != CapacityHints::None && enforces_limit;
             let hint = if hinted { entry.capacity_hint } else { 0.0 };
-            Route::new(entry.destination, endpoint, enforces_limit, hint)
+            let mut route = Route::new(entry.destination, endpoint, enforces_limit, hint);
+            route.created_at = now;
+            route
         };
         let known = entries.iter().filter(|entry| entry.kind.0 < settings.kinds.len());
         let known: Vec<EndpointEntry> = known.copied().collect();
--- a/src/decision/guards.rs
+++ b/src/decision/guards.rs
@@ -61,14 +61,16 @@
         endpoint.state == EndpointState::Active
     }
 
-    /// Rule 4: an ejected route gets one trial call at a time; a recovering one is limited by its tokens.
+    /// Rule 4: an ejected route gets one trial call at a time; a recovering one is limited by its tokens, and
+    /// one that may have had an outage by what it accepts if it has.
     fn guard_slow_start(&self, route: &Route) -> bool {
         let pacer = self.pacer(route);
-        match pacer.health {
+        let health_permits = match pacer.health {
             Health::Healthy => true,
             Health::Ejected(next) => self.now >= next && route.in_flight.is_empty(),
             Health::SlowStart(_) => pacer.tokens >= 1.0,
-        }
+        };
+        health_permits && self.now >= route.next_cautious_call_at(self.now, &self.settings)
     }
 
     /// Rule 5: no call is made before a Retry-After delay has passed.
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -24,7 +24,9 @@
 use crate::index::pending::{PendingMessages, ReadyQueue, Timer};
 use crate::index::weight::{remaining_weight, update_mean_share, weight_curves};
 use crate::interface::*;
-use crate::pacing::{Health, Pacer, Route, pacer::RATE_WINDOW_SECONDS, route::ObservedOutcome};
+use crate::pacing::pacer::RATE_WINDOW_SECONDS;
+use crate::pacing::route::{OVERDUE_DEVIATIONS, ObservedOutcome};
+use crate::pacing::{Health, Pacer, Route};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 
@@ -46,7 +48,7 @@
 pub struct DeliveryEngine {
     pub(crate) settings: Settings,
     random: ChaCha8Rng,
-    now: Timestamp,
+    pub(crate) now: Timestamp,
     pub(crate) messages: MessageTable,
     pub(crate) directory: Directory<Route>,
     calls: InFlightCalls,
--- a/src/decision/outcomes.rs
+++ b/src/decision/outcomes.rs
@@ -9,6 +9,16 @@
 /// Weight of a new sample in the fractions that are learned over many routes.
 const POOLED_LEARNING_WEIGHT: f64 = 0.05;
 
+/// The end of a call, as one of its routes records it.
+struct CallEnd {
+    outcome: Outcome,
+    report: Option<LoadReport>,
+    /// Whether the limit of the destination applies to the route.
+    enforces_limit: bool,
+    /// Whether a rejection is explained by that limit.
+    limit_is_spent: bool,
+}
+
 impl DeliveryEngine {
     pub(super) fn attempt_ended(&mut self, event: &Event, actions: &mut Vec<Action>) {
         let Event::AttemptEnded { message: id, attempt, outcome, completes, report, .. } = *event else {
@@ -66,7 +76,7 @@
         if got_no_answer || (*share > CONNECT_FAILURE_THRESHOLD && is_rare) {
             actions.push(Action::CloseIdleConnections(active.endpoint));
         }
-        let healthy = seconds(route.latency_bound(route::OVERDUE_DEVIATIONS) as u64);
+        let healthy = seconds(route.latency_bound(OVERDUE_DEVIATIONS) as u64);
         let call = self.calls.get(active.call);
         if let Some(call) = call.filter(|call| got_no_answer && call.idle_seconds > healthy) {
             self.trusted_idle_seconds = self.trusted_idle_seconds.min(call.idle_seconds);
@@ -85,6 +95,8 @@
             }
         }
         let [own, shared] = progress.call.routes;
+        let limit_is_spent =
+            shared.or(own).is_some_and(|slot| self.directory.route(slot).explains_rejection(report));
         let mut recovered = false;
         for slot in [own, shared].into_iter().flatten() {
             let enforces_limit = shared.or(own) == Some(slot);
@@ -92,7 +104,8 @@
                 self.directory.route_mut(slot).in_flight.remove(&active.call);
             }
             if progress.is_first {
-                recovered |= self.record_on_route(slot, &progress.call, outcome, report, enforces_limit);
+                let end = CallEnd { outcome, report, enforces_limit, limit_is_spent };
+                recovered |= self.record_on_route(slot, &progress.call, &end);
             }
             // Each message of a batch may carry its own delay; the longest applies.
             if let (Outcome::Rejected { retry_after: Some(delay) }, true) = (outcome, enforces_limit) {
@@ -111,28 +124,31 @@
     }
 
     /// Records the outcome of a call on one of its routes. Returns whether the route recovered.
-    fn record_on_route(
-        &mut self,
-        slot: usize,
-        call: &Call,
-        outcome: Outcome,
-        report: Option<LoadReport>,
-        enforces_limit: bool,
-    ) -> bool {
+    fn record_on_route(&mut self, slot: usize, call: &Call, end: &CallEnd) -> bool {
+        let CallEnd { outcome, report, enforces_limit, limit_is_spent } = *end;
         let jitter = self.random_unit();
         let answers_are_lost = self.lost_answer_share > LOST_ANSWER_THRESHOLD;
         let destination = self.directory.destination(self.directory.route(slot).destination);
         let siblings = destination.map_or(1, |destination| destination.endpoints.len());
         let route_count = if enforces_limit { 1 } else { siblings };
         let sent_at = call.sent_at;
-        let observed = ObservedOutcome { sent_at, outcome, report, route_count, answers_are_lost, jitter };
+        let observed = ObservedOutcome {
+            sent_at,
+            outcome,
+            report,
+            route_count,
+            limit_is_spent,
+            answers_are_lost,
+            jitter,
+        };
         let route = self.directory.route_mut(slot);
         let was_ejected = matches!(route.pacer.health, Health::Ejected(_));
         if route.record_outcome(self.now, &self.settings, &observed) {
             let id = route.destination.0;
             let endpoint =
                 route.endpoint.map_or(String::new(), |endpoint| format!(" endpoint #{}", endpoint.0));
-            self.log.push(format!("destination {id}{endpoint} closed: {outcome:?}"));
+            let change = if outcome == Outcome::Success { "in slow start" } else { "closed" };
+            self.log.push(format!("destination {id}{endpoint} {change}: {outcome:?}"));
         }
         if route.endpoint.is_some() {
             let lost = matches!(outcome, Outcome::TimedOut | Outcome::Reset);
--- a/src/decision/route.rs
+++ b/src/decision/route.rs
@@ -4,8 +4,6 @@
 use crate::pacing::route::{LEARNING_WEIGHT, ObservedOutcome};
 use crate::pacing::{PaceBounds, mean_trial_offset, min_trial_rate};
 
-/// A call is overdue when its latency exceeds the mean by this many mean deviations.
-pub(super) const OVERDUE_DEVIATIONS: f64 = 4.0;
 /// Number of consecutive failures that count as an outage.
 const OUTAGE_FAILURES: u32 = 4;
 /// Learned fraction of failed calls above which a route is considered to be in an outage.
@@ -16,17 +14,15 @@
 const BACKOFF_OVERLOAD_WINDOWS: f64 = 0.25;
 /// Number of consecutive rejections after which the backoff of a route stops doubling.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
-/// A Retry-After longer than this many overload windows indicates an outage, not an exceeded limit.
-const CLOSED_OVERLOAD_WINDOWS: f64 = 2.0;
+/// An outage lasts longer than this many overload windows. A shorter Retry-After indicates an exceeded limit.
+const MIN_OUTAGE_WINDOWS: f64 = 2.0;
 /// A rejection is not attributed to the limit if at least this fraction of the limit remains.
 const UNEXPLAINED_REMAINING_SHARE: f64 = 0.3;
 
 impl Route {
     /// Returns whether calls are in flight and no answer has come for longer than a healthy one takes.
     pub(super) fn is_stalled(&self, now: Timestamp) -> bool {
-        let oldest = self.in_flight.values().next().filter(|_| self.endpoint.is_some());
-        let Some(oldest) = oldest.filter(|_| self.latency > 0.0) else { return false };
-        since(now, self.last_answer.max(*oldest)) as f64 > self.latency_bound(OVERDUE_DEVIATIONS)
+        self.endpoint.is_some() && self.has_overdue_call(now)
     }
 
     /// Updates the route from the outcome of a call. Returns whether the route was healthy and no longer is.
@@ -44,6 +40,7 @@
         let bounds = self.bounds(settings);
         self.record_latency(now, observed);
         let before = self.pacer.health;
+        let healthy_rate = self.rate_at_last_success(now, settings);
         match observed.outcome {
             Outcome::Cancelled | Outcome::NotSent | Outcome::Deferred => return false,
             Outcome::Success => self.record_success(now, settings, &bounds, observed.jitter),
@@ -55,13 +52,34 @@
             }
         }
         self.last_answer = now;
+        if before == Health::Healthy && self.pacer.health != Health::Healthy {
+            self.pacer.rate = self.pacer.rate.max(healthy_rate);
+        }
         if let Health::Ejected(_) = self.pacer.health {
             self.schedule_trial(now, settings, &bounds, observed);
         }
         before == Health::Healthy && self.pacer.health != Health::Healthy
     }
 
+    /// Returns whether the limit of the route explains a rejection with this report.
+    pub(super) fn explains_rejection(&self, report: Option<LoadReport>) -> bool {
+        let reported = report.map(|report| report.limit_per_second).filter(|limit| *limit > 0.0);
+        let has_limit = self.enforces_limit && reported.unwrap_or(self.limit) > 0.0;
+        has_limit && report.is_none_or(|report| report.remaining_share < UNEXPLAINED_REMAINING_SHARE)
+    }
+
     fn record_success(&mut self, now: Timestamp, settings: &Settings, bounds: &PaceBounds, jitter: f64) {
+        // If there was an outage, it began after the last success, and may have ended only now.
+        let last_known_up = self.last_success.max(self.created_at);
+        let min_outage = MIN_OUTAGE_WINDOWS * settings.rules.overload_window.0 as f64;
+        let may_have_been_out =
+            self.consecutive_failures > 0 && since(now, last_known_up) as f64 > min_outage;
+        if may_have_been_out {
+            self.pacer.rate = self.rate_at_last_success(now, settings);
+            self.caution.begin_slow_start(now);
+        } else if self.caution.slow_start(now, settings).is_none() {
+            self.caution.clear();
+        }
         (self.consecutive_failures, self.consecutive_rejections, self.last_success) = (0, 0, now);
         let pacer = &mut self.pacer;
         pacer.failure_share -= LEARNING_WEIGHT * pacer.failure_share;
@@ -94,6 +112,7 @@
         retry_after: Option<TimeDelta>,
     ) {
         self.consecutive_rejections += 1;
+        self.consecutive_failures += u32::from(!observed.limit_is_spent);
         self.last_rejection = now;
         let window = settings.rules.overload_window.0 as f64;
         // A rejection because of an exceeded limit does not indicate an outage.
@@ -121,7 +140,7 @@
         // known from a Retry-After, the slow start begins then.
         let is_repeated = self.consecutive_rejections > OUTAGE_FAILURES && !explained_by_limit;
         let is_closed =
-            retry_after.is_some_and(|delay| delay.0 as f64 > CLOSED_OVERLOAD_WINDOWS * window) || is_repeated;
+            retry_after.is_some_and(|delay| delay.0 as f64 > MIN_OUTAGE_WINDOWS * window) || is_repeated;
         if is_closed && retry_after.is_some() {
             (pacer.health, pacer.tokens) =
                 (Health::SlowStart(observed.retry_after_end(now)), observed.jitter);
--- a/src/decision/scheduling.rs
+++ b/src/decision/scheduling.rs
@@ -58,7 +58,7 @@
     /// Returns whether a call's answer is expected before the process ends; `true` if no end is scheduled.
     pub(super) fn completes_before_process_end(&self, route: &Route) -> bool {
         let known = match route.latency > 0.0 {
-            true => route.latency_bound(route::OVERDUE_DEVIATIONS),
+            true => route.latency_bound(OVERDUE_DEVIATIONS),
             false => 0.0,
         };
         let latency = known.max(self.settings.min_step_interval.0 as f64);
--- a/src/observe.rs
+++ b/src/observe.rs
@@ -29,16 +29,16 @@
     /// state of such endpoints is stored before that of others.
     pub fn is_restricted(&self, now: Timestamp, endpoint: EndpointId) -> bool {
         let endpoint = self.directory.endpoint(endpoint);
-        endpoint.is_some_and(|endpoint| self.directory.routes(endpoint).any(|route| route.is_restricted(now)))
+        endpoint.is_some_and(|endpoint| {
+            self.directory.routes(endpoint).any(|route| route.is_restricted(now, &self.settings))
+        })
     }
 
     /// Returns snapshots of an endpoint's own route and of the one that it shares; `None` where there is no
     /// such route.
     pub fn route_snapshots(&self, endpoint: EndpointId) -> [Option<RouteSnapshot>; 2] {
         self.slots_of(endpoint).map(|slot| {
-            let mut route = self.directory.route(slot?).clone();
-            // Calls in flight end with this process.
-            route.in_flight.clear();
+            let route = self.directory.route(slot?).snapshot(self.now, &self.settings);
             Some(RouteSnapshot(route))
         })
     }
--- a/src/pacing/route.rs
+++ b/src/pacing/route.rs
@@ -3,12 +3,16 @@
 //! A route holds observations (latency, consecutive failures, the last reported limit) and its pacer. This
 //! module stores the state and advances it in time; `src/decision/route.rs` updates it from the outcomes of
 //! calls.
+use super::caution::Caution;
+use super::pacer::RATE_WINDOW_SECONDS;
 use super::{Health, PaceBounds, Pacer};
-use crate::interface::{after, since};
+use crate::interface::{after, seconds, since};
 use crate::{DestinationId, EndpointId, LoadReport, Outcome, Settings, Timestamp};
 use std::cell::Cell;
 use std::collections::BTreeMap;
 
+/// A call is overdue when its latency exceeds the mean by this many mean deviations.
+pub(crate) const OVERDUE_DEVIATIONS: f64 = 4.0;
 /// Weight of a new sample in a learned mean.
 pub(crate) const LEARNING_WEIGHT: f64 = 0.2;
 
@@ -19,6 +23,8 @@
     pub(crate) report: Option<LoadReport>,
     /// Number of routes that share the reported limit.
     pub(crate) route_count: usize,
+    /// Whether a rejection is explained by the destination's limit, which has no capacity left.
+    pub(crate) limit_is_spent: bool,
     /// Whether answers are currently getting lost.
     pub(crate) answers_are_lost: bool,
     /// A random number from 0 to 1 that spreads the calls of different senders.
@@ -50,7 +56,11 @@
     /// The pacer as last advanced, cached for the duration of a step.
     #[serde(skip)]
     cached_pacer: Cell<Pacer>,
+    /// Number of calls since the last success that failed, or were rejected although the limit was not spent.
     pub(crate) consecutive_failures: u32,
+    /// The limit of calls that these failures cause.
+    #[serde(skip)]
+    pub(crate) caution: Caution,
     /// When the last of at least two consecutive failures occurred. Single failures, such as a reset, are
     /// ignored.
     pub(crate) last_repeated_failure: Option<Timestamp>,
@@ -67,6 +77,9 @@
     pub(crate) in_flight: BTreeMap<u64, Timestamp>,
     pub(crate) last_answer: Timestamp,
     pub(crate) last_success: Timestamp,
+    /// When this process created the route; 0 if it was restored.
+    #[serde(skip)]
+    pub(crate) created_at: Timestamp,
     pub(crate) last_rejection: Timestamp,
     /// The last reported limit for all senders together, in calls per second; 0 if unknown.
     pub(crate) limit: f64,
@@ -109,6 +122,13 @@
         self.cached_pacer.get()
     }
 
+    /// Returns whether the oldest call in flight, and every answer, is longer ago than a healthy one takes.
+    pub(crate) fn has_overdue_call(&self, now: Timestamp) -> bool {
+        let oldest = self.in_flight.values().next();
+        let Some(oldest) = oldest.filter(|_| self.latency > 0.0) else { return false };
+        since(now, self.last_answer.max(*oldest)) as f64 > self.latency_bound(OVERDUE_DEVIATIONS)
+    }
+
     /// Returns the latency that is `deviations` mean deviations above the mean, in microseconds.
     pub(crate) fn latency_bound(&self, deviations: f64) -> f64 {
         self.latency + deviations * self.deviation
@@ -140,26 +160,71 @@
     pub(crate) fn start_call(&mut self, call: u64, now: Timestamp, settings: &Settings) {
         self.pacer = self.pacer_at(now, settings);
         self.pacer.tokens -= 1.0;
+        if self.needs_caution(now, settings) {
+            self.caution.record_call(now, settings);
+        }
         self.in_flight.insert(call, now);
     }
 
+    /// Returns whether the route may have had an outage, because a call has failed since the last success, or did
+    /// before it and the slow start after it is not over.
+    pub(crate) fn needs_caution(&self, now: Timestamp, settings: &Settings) -> bool {
+        self.consecutive_failures > 0 || self.caution.slow_start(now, settings).is_some()
+    }
+
+    /// Returns from when on another call is permitted, `now` at the earliest, as the route may have had an
+    /// outage.
+    pub(crate) fn next_cautious_call_at(&self, now: Timestamp, settings: &Settings) -> Timestamp {
+        if !self.needs_caution(now, settings) {
+            return now;
+        }
+        let rate = self.rate_at_last_success(now, settings);
+        let expected_rate = self.bounds(settings).expected_rate(rate, settings);
+        self.caution.next_call_at(now, expected_rate, settings)
+    }
+
+    /// Returns the rate of successful calls before the last ones failed. Its decay since the last success is
+    /// undone, for as long as a slow start takes.
+    pub(crate) fn rate_at_last_success(&self, now: Timestamp, settings: &Settings) -> f64 {
+        let pacer = self.pacer_at(now, settings);
+        if pacer.health != Health::Healthy {
+            return pacer.rate;
+        }
+        let idle = since(now, self.last_success).min(settings.rules.slow_start_duration.0);
+        pacer.rate * (seconds(idle) / RATE_WINDOW_SECONDS).exp()
+    }
+
+    /// Returns the route as a later process restores it. An overdue call in flight counts as failed, because it
+    /// ends with this process, and so does a slow start whose calls the later process does not know.
+    pub(crate) fn snapshot(&self, now: Timestamp, settings: &Settings) -> Self {
+        let mut route = self.clone();
+        if self.needs_caution(now, settings) || self.has_overdue_call(now) {
+            route.consecutive_failures = route.consecutive_failures.max(1);
+        }
+        route.in_flight.clear();
+        route
+    }
+
     /// Returns the earliest time at which the route can accept a call if no event occurs.
     pub(crate) fn opens_at(&self, now: Timestamp, settings: &Settings) -> Timestamp {
         let pacer = self.pacer_at(now, settings);
         let trial = if let Health::Ejected(next) = pacer.health { next } else { now };
         let token = pacer.next_token_at(now, &self.bounds(settings), settings);
-        self.retry_after_until.max(self.backoff_until).max(trial).max(token)
+        let cautious = self.next_cautious_call_at(now, settings);
+        self.retry_after_until.max(self.backoff_until).max(trial).max(token).max(cautious)
     }
 
     /// Drops learned estimates; restrictions that the rules require stay.
     pub(crate) fn forget_estimates(&mut self) {
         (self.latency, self.deviation, self.limit) = (0.0, 0.0, 0.0);
-        (self.consecutive_failures, self.consecutive_rejections, self.last_repeated_failure) = (0, 0, None);
+        (self.consecutive_rejections, self.last_repeated_failure) = (0, None);
+        self.consecutive_failures = self.consecutive_failures.min(1);
         (self.pacer.rate, self.pacer.pace) = (0.0, f64::INFINITY);
     }
 
-    /// Returns whether a Retry-After, an outage or a slow start restricts calls at `now`.
-    pub(crate) fn is_restricted(&self, now: Timestamp) -> bool {
-        self.retry_after_until > now || self.pacer.health != Health::Healthy
+    /// Returns whether a Retry-After, a failure, an outage or a slow start restricts calls at `now`.
+    pub(crate) fn is_restricted(&self, now: Timestamp, settings: &Settings) -> bool {
+        let is_healthy = self.pacer.health == Health::Healthy && !self.needs_caution(now, settings);
+        self.retry_after_until > now || !is_healthy
     }
 }
--- a/src/restore/tests.rs
+++ b/src/restore/tests.rs
@@ -43,7 +43,7 @@
             panic!("age {age}: the route is no longer ejected")
         };
         assert!(trial.0 >= NOW.0 + age, "age {age}: a trial is due before the process started");
-        assert!(restricted.is_restricted(Timestamp(NOW.0 + age)));
+        assert!(restricted.is_restricted(Timestamp(NOW.0 + age), &settings()));
     }
     let slow_start = settings().rules.slow_start_duration.0;
     for (age, completed) in [(0, false), (slow_start / 2, false), (slow_start, true)] {
@@ -66,7 +66,8 @@
     let old = aged(route(), rules.slow_start_duration.0);
     assert_eq!((old.limit, old.latency, old.pacer.rate), (0.0, 0.0, 0.0));
     assert!(
-        old.pacer.pace.is_infinite() && !old.is_restricted(Timestamp(NOW.0 + rules.slow_start_duration.0))
+        old.pacer.pace.is_infinite()
+            && !old.is_restricted(Timestamp(NOW.0 + rules.slow_start_duration.0), &settings())
     );
 }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -323,3 +323,112 @@
         assert!((least..=most).contains(&delay), "{attempts} attempts: {delay} us");
     }
 }
+
+/// Sends one message every 100 ms, `count` in all, and returns how many calls are made in the first `window`
+/// microseconds. Each call succeeds after 150 ms.
+fn calls_of_a_burst(host: &mut Host, first: u32, count: u32, window: u64) -> usize {
+    let burst: Vec<Event> = (first..first + count).map(|id| message_event(id, IDEMPOTENT, 1, None)).collect();
+    let end = host.now + window;
+    let mut in_flight: Vec<(u64, u32)> = Vec::new();
+    let (mut events, mut calls) = (burst, 0);
+    while host.now < end {
+        let sent = sent_messages(host.step(&events));
+        calls += sent.len();
+        in_flight.extend(sent.into_iter().map(|id| (host.now + 150_000, id)));
+        host.now += 10_000;
+        let (ended, running) = in_flight.into_iter().partition(|(due, _)| *due <= host.now);
+        in_flight = running;
+        events =
+            ended.into_iter().map(|(_, id): (u64, u32)| attempt_ended(id, 0, Outcome::Success)).collect();
+    }
+    calls
+}
+
+/// What the destination of `calls_of_a_burst` bears within an overload window right after an outage, if it
+/// takes 4 calls a second when warm: N + 3 x root of N + 3, with N = 0.2 x 2 x 4 x 1.5.
+const COLD_CALLS: usize = 10;
+
+/// Guards against pushing over a quiet destination that returns from an outage of which this sender has seen
+/// one call fail or be refused (review/10).
+#[test]
+fn a_burst_after_a_single_failure_in_an_outage_is_a_slow_start() {
+    let outcomes = [
+        Outcome::TimedOut,
+        Outcome::Failure,
+        Outcome::Reset,
+        Outcome::ConnectFailed,
+        Outcome::Rejected { retry_after: None },
+        Outcome::Rejected { retry_after: Some(TimeDelta(300_000)) },
+    ];
+    for outcome in outcomes {
+        for kind in [0, 1] {
+            let mut host = Host::new(settings(), vec![entry(1, 0, kind, 0)]);
+            warm_up(&mut host, 0, IDEMPOTENT, 1, 10);
+            host.now += 10 * SECOND;
+            assert!(sent_to(&host.submit(50, NON_IDEMPOTENT, 1), 50).is_some());
+            host.now += 100_000;
+            host.step(&[attempt_ended(50, 0, outcome), Event::Cancelled(MessageId(50))]);
+            host.now += 8 * SECOND;
+            let calls = calls_of_a_burst(&mut host, 100, 30, 1_500_000);
+            assert!(calls <= COLD_CALLS, "{outcome:?}, kind {kind}: {calls} calls");
+            // The limit holds until the slow start after the first success is over.
+            host.now += 5 * SECOND;
+            let calls = calls_of_a_burst(&mut host, 200, 30, 1_500_000);
+            assert!(calls <= 2 * COLD_CALLS, "{outcome:?}, kind {kind}: {calls} calls after 5 s");
+        }
+    }
+}
+
+/// Guards against a process that forgets at a restart that its last call to a destination failed.
+#[test]
+fn a_failure_binds_a_restored_route() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 0, 0)]);
+    warm_up(&mut host, 0, IDEMPOTENT, 1, 10);
+    host.now += 10 * SECOND;
+    host.submit(50, NON_IDEMPOTENT, 1);
+    host.now += 5 * SECOND;
+    host.end_attempt(50, 0, Outcome::TimedOut);
+    let stored = host.sender.route_snapshots(EndpointId(0));
+    for restart_after in [SECOND, 30 * SECOND] {
+        let mut restarted = Host::new(settings(), vec![entry(1, 0, 0, 0)]);
+        let (written_at, now) = (Timestamp(host.now), Timestamp(host.now + restart_after));
+        restarted.now = now.0;
+        let aged = stored.clone().map(|route| Some(route?.aged(written_at, now, 1.0, &settings())));
+        restarted.sender.restore_routes(EndpointId(0), aged);
+        restarted.now += SECOND;
+        let calls = calls_of_a_burst(&mut restarted, 100, 30, 1_500_000);
+        assert!(calls <= COLD_CALLS, "{calls} calls, restarted after {restart_after} us");
+    }
+}
+
+/// Guards against a process that hands over, or ends, while its only call to a destination hangs, and whose
+/// successor does not know of it.
+#[test]
+fn an_overdue_call_of_an_ended_process_binds_a_restored_route() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 0, 0)]);
+    warm_up(&mut host, 0, IDEMPOTENT, 1, 10);
+    host.now += 10 * SECOND;
+    host.submit(50, NON_IDEMPOTENT, 1);
+    host.now += 3 * SECOND;
+    host.step(&[Event::Handover(Timestamp(host.now))]);
+    let handed_over = host.sender.route_snapshots(EndpointId(0));
+    let mut successor = Host::new(settings(), vec![entry(1, 0, 0, 0)]);
+    successor.now = host.now + SECOND;
+    successor.sender.restore_routes(EndpointId(0), handed_over);
+    let calls = calls_of_a_burst(&mut successor, 100, 30, 1_500_000);
+    assert!(calls <= COLD_CALLS, "{calls} calls");
+}
+
+/// Guards against a slow start after a failure between two successes that follow each other closely, as the
+/// destination cannot have had an outage.
+#[test]
+fn a_failure_among_successes_starts_no_slow_start() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 1, 0)]);
+    warm_up(&mut host, 0, IDEMPOTENT, 1, 20);
+    host.submit(50, NON_IDEMPOTENT, 1);
+    host.now += 100_000;
+    host.end_attempt(50, 0, Outcome::Reset);
+    warm_up(&mut host, 60, IDEMPOTENT, 1, 1);
+    let burst: Vec<Event> = (70..74).map(|id| message_event(id, IDEMPOTENT, 1, None)).collect();
+    assert_eq!(host.step(&burst).len(), 4);
+}
