Class definitions: nothing grows with each handover or reload

A process that has applied many reloads rejects every further one.

Cause: `ActiveConfiguration::new` joins the predecessor's classes and those of classes.json, both the whole registry, and `ClassRegistry::new` kept equal ones: each handover with a pending message doubled them. Its class: definitions were added and never released. Reloads add one for each changed class, and a handover passed all of them on.

Change: of the retired definitions of a name only the strictest is kept at a start, which is the one that applies to its recovered messages; a reload gives the ID of a class that is not in the settings and has no message (in the engine, queued, or held back by the recovery) to a new definition; the messages of a start do not count toward the maximum, so that it cannot end a start; class names in the metrics are dropped beyond the maximum.

--- a/src/daemon/class_registry.rs
+++ b/src/daemon/class_registry.rs
@@ -1,16 +1,17 @@
 //! Registry of the message classes of a process, across changes of the settings. No I/O and no clock.
 //!
-//! A class keeps its ID for the life of the process: messages in flight keep their class, even after a reload
-//! that removes the class from the settings or redefines its name.
+//! A class keeps its ID while the settings contain it or a message belongs to it, even after a reload that
+//! removes the class from the settings or redefines its name. The ID of any other class is used for the next
+//! new definition, so that the number of classes is bounded however many reloads a process applies.
 //!
 //! A recovered message contains only the name of its class, and may have been accepted under any definition
 //! that the name has had: the strictest definition applies. A message whose class is unknown is sent once,
 //! because a retry may be unsafe, and in the order of its key.
 use crate::{Class, ClassId, DeduplicationScope, Idempotency, TimeDelta};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// The maximum number of class definitions over the life of a process.
-const MAX_CLASSES: usize = 1024;
+/// The maximum number of class definitions that the settings contain or messages belong to.
+pub const MAX_CLASSES: usize = 1024;
 
 /// The name of a class and its definition.
 pub type NamedClass = (String, Class);
@@ -18,8 +19,8 @@
 /// An error of registering classes. The registry is unchanged.
 #[derive(Debug, thiserror::Error)]
 pub enum ClassRegistryError {
-    /// The process has registered the maximum number of class definitions.
-    #[error("class {0:?}: the process has registered the maximum of {MAX_CLASSES} class definitions")]
+    /// The maximum number of class definitions is in use.
+    #[error("class {0:?}: the maximum of {MAX_CLASSES} class definitions is in use")]
     TooMany(String),
     /// Two classes have the same name.
     #[error("duplicate class {0:?}")]
@@ -35,7 +36,7 @@
     pub has_idempotency_key: bool,
 }
 
-/// All classes that this process has registered, including those that a reload has removed.
+/// The classes of this process, including those that a reload has removed and messages belong to.
 #[derive(Clone)]
 pub struct ClassRegistry {
     /// All classes. The index is the class ID.
@@ -44,6 +45,10 @@
     current: HashMap<String, ClassId>,
     /// The classes of recovered messages.
     recovered: BTreeMap<RecoveredClass, ClassId>,
+    /// The IDs of classes that nothing uses.
+    unused: BTreeSet<ClassId>,
+    /// The maximum number of definitions: [`MAX_CLASSES`] besides those of the messages at the start.
+    max_classes: usize,
 }
 
 /// Returns a rank that is higher the less a class permits to retry a message that may have been processed.
@@ -56,14 +61,42 @@
     }
 }
 
+/// Returns the strictest definition of each name, in the order of the names' first definitions.
+fn strictest_by_name(classes: Vec<NamedClass>) -> Vec<NamedClass> {
+    let mut strictest: Vec<NamedClass> = Vec::new();
+    let mut positions: HashMap<String, usize> = HashMap::new();
+    for (name, class) in classes {
+        let position = *positions.entry(name.clone()).or_insert(strictest.len());
+        match strictest.get_mut(position) {
+            Some((_, known)) => *known = stricter(known, &class),
+            None => strictest.push((name, class)),
+        }
+    }
+    strictest
+}
+
+/// Returns a class that permits only what both classes permit.
+fn stricter(known: &Class, other: &Class) -> Class {
+    let stricter = if strictness(other) > strictness(known) { other } else { known };
+    Class { ordered: known.ordered || other.ordered, ..stricter.clone() }
+}
+
 impl ClassRegistry {
     /// Creates a registry of the classes in the settings and the `retired` classes, to which recovered
-    /// messages may belong.
+    /// messages may belong. Of several retired definitions of a name, only the strictest is kept, because it
+    /// applies to all recovered messages of the name.
     ///
     /// # Errors
     /// A name is used twice, or there are too many classes.
     pub fn new(configured: Vec<NamedClass>, retired: Vec<NamedClass>) -> Result<Self, ClassRegistryError> {
-        let mut registry = Self { classes: retired, current: HashMap::new(), recovered: BTreeMap::new() };
+        let retired = strictest_by_name(retired);
+        let mut registry = Self {
+            max_classes: retired.len() + MAX_CLASSES,
+            classes: retired,
+            current: HashMap::new(),
+            recovered: BTreeMap::new(),
+            unused: BTreeSet::new(),
+        };
         registry.replace_configured(configured)?;
         Ok(registry)
     }
@@ -73,30 +106,42 @@
     /// # Errors
     /// A name is used twice, or there are too many classes; the registry is then unchanged.
     pub fn replace_configured(&mut self, configured: Vec<NamedClass>) -> Result<(), ClassRegistryError> {
-        let count_before = self.classes.len();
-        let mut current = HashMap::new();
+        let mut changed = self.clone();
+        changed.current.clear();
         for class in configured {
             let name = class.0.clone();
-            let id = self.register(class);
-            if current.insert(name.clone(), id).is_some() || self.classes.len() > MAX_CLASSES {
-                self.classes.truncate(count_before);
-                return Err(match self.classes.len() >= MAX_CLASSES {
-                    true => ClassRegistryError::TooMany(name),
-                    false => ClassRegistryError::Duplicate(name),
-                });
+            let id = changed.register(class);
+            if changed.current.insert(name.clone(), id).is_some() {
+                return Err(ClassRegistryError::Duplicate(name));
+            }
+            if changed.classes.len() > self.max_classes {
+                return Err(ClassRegistryError::TooMany(name));
             }
         }
-        self.current = current;
+        *self = changed;
         Ok(())
     }
 
+    /// Releases the IDs of all classes that are neither in the settings nor `in_use`.
+    pub fn release_unused(&mut self, in_use: &BTreeSet<ClassId>) {
+        let current: BTreeSet<ClassId> = self.current.values().copied().collect();
+        let ids = (0..self.classes.len()).map(ClassId);
+        self.unused = ids.filter(|id| !current.contains(id) && !in_use.contains(id)).collect();
+        self.recovered.retain(|_, id| !self.unused.contains(id));
+    }
+
     /// Returns the ID of a class definition. Registers the definition if it is new.
     fn register(&mut self, class: NamedClass) -> ClassId {
-        let position = self.classes.iter().position(|known| *known == class);
-        ClassId(position.unwrap_or_else(|| {
-            self.classes.push(class);
-            self.classes.len() - 1
-        }))
+        if let Some(position) = self.classes.iter().position(|known| *known == class) {
+            self.unused.remove(&ClassId(position));
+            return ClassId(position);
+        }
+        if let Some(id) = self.unused.pop_first() {
+            self.classes[id.0] = class;
+            return id;
+        }
+        self.classes.push(class);
+        ClassId(self.classes.len() - 1)
     }
 
     /// Returns all classes, ordered by ID.
@@ -114,6 +159,11 @@
         self.current.keys().map(String::as_str)
     }
 
+    /// Returns whether the process knows a definition of this name.
+    pub fn has_definition(&self, name: &str) -> bool {
+        self.classes.iter().any(|known| known.0 == name)
+    }
+
     /// Returns the ID of a class in the settings; `None` if the settings contain no class of this name.
     pub fn current(&self, name: &str) -> Option<ClassId> {
         self.current.get(name).copied()
@@ -126,11 +176,10 @@
             return true;
         }
         let RecoveredClass { name, has_idempotency_key } = &recovered;
-        let definitions = || self.classes.iter().filter(|known| known.0 == *name).map(|known| &known.1);
-        let strictest = definitions().max_by_key(|class| strictness(class)).cloned();
+        let definitions = self.classes.iter().filter(|known| known.0 == *name).map(|known| known.1.clone());
+        let strictest = definitions.reduce(|known, other| stricter(&known, &other));
         let is_known = strictest.is_some();
         let mut class = strictest.unwrap_or_else(|| self.unknown_class());
-        class.ordered |= definitions().any(|class| class.ordered);
         if matches!(class.idempotency, Idempotency::WithKey { .. }) && !has_idempotency_key {
             // The message was accepted under a definition that required no key: the destination could not
             // recognize a retry.
--- a/src/daemon/class_registry/tests.rs
+++ b/src/daemon/class_registry/tests.rs
@@ -82,3 +82,56 @@
     );
     assert_eq!(classes.current("gone"), None);
 }
+
+/// A definition of class "a" that differs with `version`.
+fn version(version: u64) -> NamedClass {
+    let (name, class) = class("a", Idempotency::Idempotent);
+    (name, Class { deadline: TimeDelta(2 + version), ..class })
+}
+
+/// Guards against definitions that accumulate with each handover, until no process can start (review/6).
+#[test]
+fn handovers_and_restarts_do_not_add_definitions() {
+    let keyed = Idempotency::WithKey { scope: DeduplicationScope::Destination, window: TimeDelta(5) };
+    let configured = vec![class("a", keyed), class("b", Idempotency::Idempotent)];
+    let mut known = ClassRegistry::new(configured.clone(), Vec::new()).unwrap();
+    for handover in 0..2 * MAX_CLASSES as u64 {
+        // The predecessor hands its classes over, and the same classes are in the state folder.
+        let retired = [known.named(), known.named()].concat();
+        let mut configured = configured.clone();
+        configured.push(version(handover));
+        configured.remove(0);
+        known = ClassRegistry::new(configured, retired).unwrap();
+        assert!(known.register_recovered(recovered("a", true)));
+        assert!(known.register_recovered(recovered("a", false)));
+        assert!(known.named().len() <= 4, "handover {handover}: {:?}", known.named());
+    }
+    let class = known.recovered(&recovered("a", true)).unwrap();
+    assert_eq!(known.all()[class.0].idempotency, Idempotency::NonIdempotent);
+}
+
+/// Guards against reloads that are rejected because earlier ones have used up the class IDs, and against a
+/// reused ID that a message still has.
+#[test]
+fn reloads_reuse_the_ids_of_classes_without_messages() {
+    let mut classes = ClassRegistry::new(vec![version(0)], Vec::new()).unwrap();
+    let first = classes.current("a").unwrap();
+    for reload in 1..3 * MAX_CLASSES as u64 {
+        classes.release_unused(&BTreeSet::from([first]));
+        classes.replace_configured(vec![version(reload)]).unwrap();
+        let current = classes.current("a").unwrap();
+        assert_eq!(classes.named()[current.0], version(reload));
+        assert_eq!(classes.named()[first.0], version(0));
+    }
+    assert!(classes.named().len() <= 3);
+    // The definitions of messages are kept, and a change beyond the maximum has no effect.
+    let mut full = ClassRegistry::new(vec![version(0)], Vec::new()).unwrap();
+    let in_use: BTreeSet<ClassId> = (0..MAX_CLASSES).map(ClassId).collect();
+    for reload in 1..MAX_CLASSES as u64 {
+        full.release_unused(&in_use);
+        full.replace_configured(vec![version(reload)]).unwrap();
+    }
+    full.release_unused(&in_use);
+    assert!(matches!(full.replace_configured(vec![version(5000)]), Err(ClassRegistryError::TooMany(_))));
+    assert_eq!(full.named()[full.current("a").unwrap().0], version(MAX_CLASSES as u64 - 1));
+}
--- a/src/daemon/event_loop/admin.rs
+++ b/src/daemon/event_loop/admin.rs
@@ -1,6 +1,7 @@
 //! Configuration reloads, metrics, and requests through the admin endpoint.
 use super::EventLoop;
 use super::configuration::{PreparedReload, ReloadError, idle_timeout, poll_config, report_fields};
+use crate::daemon::class_registry::MAX_CLASSES;
 use crate::daemon::config::{Config, ConfigReadError};
 use crate::daemon::endpoint_list::Phase;
 use crate::daemon::events::AdminRequest;
@@ -8,7 +9,8 @@
 use crate::daemon::metrics::Metrics;
 use crate::daemon::poll_schedule::PollConfig;
 use crate::daemon::watch_cell::WatchCell;
-use crate::{EndpointId, Event};
+use crate::{ClassId, EndpointId, Event};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -92,7 +94,8 @@
     /// Applies a configuration completely, or changes nothing if it is invalid. Returns whether the address
     /// of the discovery agent has changed.
     fn apply_configuration(&mut self, config: Box<Config>) -> Result<bool, ReloadError> {
-        let mut prepared = self.configuration.prepare(&config, &*self.ports.storage)?;
+        let mut prepared =
+            self.configuration.prepare(&config, &self.classes_in_use(), &*self.ports.storage)?;
         let members = prepared.members.take();
         if let (Some(membership), Some(members)) = (&self.published.members, members) {
             let _ = membership.send(members);
@@ -103,6 +106,12 @@
         Ok(discovery_changed)
     }
 
+    /// Returns the classes that messages belong to, in the engine or on their way to it.
+    fn classes_in_use(&self) -> BTreeSet<ClassId> {
+        let queued = self.queue.messages().chain(self.recovery.held_messages());
+        self.engine.classes_in_use().chain(queued.map(|message| message.class)).collect()
+    }
+
     fn apply_settings(&mut self, prepared: PreparedReload, config: &Config) {
         let has_changed = self.configuration.apply(prepared);
         self.register_classes_in_metrics();
@@ -124,8 +133,13 @@
         }
     }
 
-    /// Adds all configured classes to the metrics, including those without an ended message.
+    /// Adds all configured classes to the metrics, including those without an ended message. Drops classes that
+    /// the process no longer knows if there are too many.
     pub(super) fn register_classes_in_metrics(&mut self) {
+        let classes = &self.configuration.classes;
+        if self.metrics.counts.calls.len() > MAX_CLASSES {
+            self.metrics.counts.calls.retain(|name, _| classes.has_definition(name));
+        }
         for class in self.configuration.classes.names() {
             self.metrics.counts.add_class(class);
         }
--- a/src/daemon/event_loop/configuration.rs
+++ b/src/daemon/event_loop/configuration.rs
@@ -10,8 +10,9 @@
 use crate::daemon::poll_schedule::PollConfig;
 use crate::daemon::ports::{Log, Storage};
 use crate::profile::{Names, Profile, ProfileError};
-use crate::{Settings, SettingsError};
+use crate::{ClassId, Settings, SettingsError};
 use micadrum_config::ChangeError;
+use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -134,7 +135,7 @@
     }
 
     /// Validates a changed configuration, and stores its classes before messages of a new class can be
-    /// submitted.
+    /// submitted. Messages belong to `classes_in_use`.
     ///
     /// # Errors
     /// Returns an error if the configuration is invalid, if it changes what is fixed while a process runs, or
@@ -142,6 +143,7 @@
     pub(super) fn prepare(
         &self,
         config: &Config,
+        classes_in_use: &BTreeSet<ClassId>,
         storage: &dyn Storage,
     ) -> Result<PreparedReload, ReloadError> {
         if let Some(key) = config.missing_key(&self.schema) {
@@ -155,6 +157,7 @@
         }
         let configured = profile.classes().map_err(EventLoopError::Profile)?;
         let mut classes = self.classes.clone();
+        classes.release_unused(classes_in_use);
         classes.replace_configured(configured).map_err(EventLoopError::Classes)?;
         let settings = engine_settings(profile, &names, &classes)?;
         settings.check().map_err(EventLoopError::Settings)?;
--- a/src/daemon/event_loop/recovery.rs
+++ b/src/daemon/event_loop/recovery.rs
@@ -37,6 +37,11 @@
         Self { status, time_marker: TimeMarker::default(), last_journal_time, held_messages: BTreeMap::new() }
     }
 
+    /// Returns the recovered messages that must not be sent yet.
+    pub(super) fn held_messages(&self) -> impl Iterator<Item = &Message> {
+        self.held_messages.values().map(|recovered| &recovered.message)
+    }
+
     /// Returns the earliest deadline of the held messages.
     fn first_deadline(&self) -> Option<Timestamp> {
         self.held_messages.first_key_value().map(|((deadline, _), _)| Timestamp(*deadline))
--- a/src/daemon/event_loop/step_queue.rs
+++ b/src/daemon/event_loop/step_queue.rs
@@ -1,5 +1,5 @@
 //! The events that are queued for the next step of the decision engine, and the time of that step.
-use crate::{Event, Outcome, Timestamp};
+use crate::{Event, Message, Outcome, Timestamp};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -21,6 +21,15 @@
         self.events.push((at, event));
     }
 
+    /// Returns the messages in the queued events.
+    pub(super) fn messages(&self) -> impl Iterator<Item = &Message> {
+        self.events.iter().filter_map(|(_, event)| match event {
+            Event::Message(message) => Some(message),
+            Event::Recovered(recovered) => Some(&recovered.message),
+            _ => None,
+        })
+    }
+
     /// Returns whether no event is queued.
     pub(super) fn is_empty(&self) -> bool {
         self.events.is_empty()
--- a/src/observe.rs
+++ b/src/observe.rs
@@ -14,6 +14,11 @@
         self.messages.get(message).map(|state| state.message.class)
     }
 
+    /// Returns the class of each message that has not ended.
+    pub fn classes_in_use(&self) -> impl Iterator<Item = ClassId> {
+        self.messages.iter().map(|(_, state)| state.message.class)
+    }
+
     /// Returns whether an endpoint gets no calls at `now` other than trials: it is unknown, not active,
     /// ejected, or under a Retry-After.
     pub fn is_unavailable(&self, now: Timestamp, endpoint: EndpointId) -> bool {
--- a/tests/sockets/harness.rs
+++ b/tests/sockets/harness.rs
@@ -480,6 +480,14 @@
         self.signal("HUP");
     }
 
+    /// Replaces the configuration file by one with `text`, and sends SIGHUP. A process that still handles an
+    /// earlier signal reads either of the two files.
+    pub fn reload_replaced_file(&self, text: &str) {
+        std::fs::write(self.state_path("next.json"), text).unwrap();
+        std::fs::rename(self.state_path("next.json"), self.state_path("config.json")).unwrap();
+        self.signal("HUP");
+    }
+
     /// Changes the configuration for the next launch; the running process is not signalled.
     pub fn edit_config(&mut self, change: impl FnOnce(&mut Value)) {
         change(&mut self.config);
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -14,6 +14,7 @@
 mod random_scenarios;
 mod raw_connections;
 mod recovery;
+mod repeated_handovers;
 mod restarts;
 mod second_answers;
 mod signals;
