Cold destinations: look again when the limit permits a call; large fleets as before

With the look made earlier, fleet::a_recovered_destination_is_used_soon... (100 senders) failed: 62 calls in second 11 where 56 are allowed. Ruled out there: the expected rate at an ejection (61 without it), one call in a longer time for shares under one call (58).

Cause of the second: in a large fleet the limit of one call held the calls of the outage back that eject a route, so that more senders had a call ready at the return.

Change: the next look is at a lower bound (the limit at the latest time, or the end of the slow start).

--- a/src/decision/guards.rs
+++ b/src/decision/guards.rs
@@ -70,7 +70,7 @@
             Health::Ejected(next) => self.now >= next && route.in_flight.is_empty(),
             Health::SlowStart(_) => pacer.tokens >= 1.0,
         };
-        health_permits && self.now >= route.next_cautious_call_at(self.now, &self.settings)
+        health_permits && route.permits_cautious_call(self.now, &self.settings)
     }
 
     /// Rule 5: no call is made before a Retry-After delay has passed.
--- a/src/pacing/caution.rs
+++ b/src/pacing/caution.rs
@@ -49,13 +49,37 @@
         self.recent_calls.push_back(now);
     }
 
-    /// Returns from when on another call keeps the limit, if the warm destination accepts `expected_rate` calls
-    /// per second from this sender.
-    pub(crate) fn next_call_at(&self, now: Timestamp, expected_rate: f64, settings: &Settings) -> Timestamp {
+    /// Returns whether another call at `now` keeps the limit, if the warm destination accepts `expected_rate`
+    /// calls per second from this sender.
+    pub(crate) fn permits_call(&self, now: Timestamp, expected_rate: f64, settings: &Settings) -> bool {
+        self.next_call_at(now, now, expected_rate, settings) <= now
+    }
+
+    /// Returns a lower bound of the time at which the limit permits another call if no event occurs; later than
+    /// `now` if it does not at `now`.
+    pub(crate) fn opens_at(&self, now: Timestamp, expected_rate: f64, settings: &Settings) -> Timestamp {
+        let latest = self.next_call_at(now, now, expected_rate, settings);
+        if latest <= now {
+            return now;
+        }
+        // The limit only grows, and ends with the slow start. The limit at the latest time gives a lower bound.
+        let next = self.next_call_at(now, latest, expected_rate, settings);
+        let end = self.slow_start(now, settings).map(|from| from.0 + settings.rules.slow_start_duration.0);
+        Timestamp(next.0.min(end.unwrap_or(u64::MAX)).max(now.0 + 1))
+    }
+
+    /// Returns from when on another call keeps the limit that applies at `at`.
+    fn next_call_at(
+        &self,
+        now: Timestamp,
+        at: Timestamp,
+        expected_rate: f64,
+        settings: &Settings,
+    ) -> Timestamp {
         let duration = settings.rules.slow_start_duration.0.max(1) as f64;
-        let progress = self.slow_start(now, settings).map_or(0.0, |from| since(now, from) as f64 / duration);
-        let max_calls = max_calls_in_window(expected_rate, progress, settings);
-        let blocking = self.recent_calls.len().checked_sub(max_calls.max(1));
+        let progress = self.slow_start(now, settings).map_or(0.0, |from| since(at, from) as f64 / duration);
+        let max_calls = max_calls_in_window(expected_rate, progress.min(1.0), settings);
+        let blocking = self.recent_calls.len().checked_sub(max_calls);
         let blocking = blocking.and_then(|index| self.recent_calls.get(index));
         blocking.map_or(now, |start| after(*start, settings.rules.overload_window.0 as f64))
     }
@@ -63,6 +87,9 @@
 
 /// Returns how many calls this sender may make within an overload window to a destination whose slow start has
 /// come to `progress`, from 0 to 1.
+///
+/// In a large fleet, most senders have nothing to send at any one time. If a sender's share is less than one
+/// call, it may make as many as any destination accepts.
 fn max_calls_in_window(expected_rate: f64, progress: f64, settings: &Settings) -> usize {
     let rules = &settings.rules;
     let senders = settings.fleet_size.max(1) as f64;
@@ -71,5 +98,6 @@
     let calls = allowed_rate * seconds(rules.overload_window.0);
     let margin = if calls < LARGE_CALL_COUNT { SMALL_COUNT_MARGIN } else { LARGE_COUNT_MARGIN };
     let accepted = calls + margin * calls.sqrt() + margin;
-    (accepted / senders).ceil() as usize
+    let share = accepted / senders;
+    if share < 1.0 { SMALL_COUNT_MARGIN as usize } else { share.ceil() as usize }
 }
--- a/src/pacing/route.rs
+++ b/src/pacing/route.rs
@@ -172,15 +172,15 @@
         self.consecutive_failures > 0 || self.caution.slow_start(now, settings).is_some()
     }
 
-    /// Returns from when on another call is permitted, `now` at the earliest, as the route may have had an
-    /// outage.
-    pub(crate) fn next_cautious_call_at(&self, now: Timestamp, settings: &Settings) -> Timestamp {
-        if !self.needs_caution(now, settings) {
-            return now;
-        }
-        let rate = self.rate_at_last_success(now, settings);
-        let expected_rate = self.bounds(settings).expected_rate(rate, settings);
-        self.caution.next_call_at(now, expected_rate, settings)
+    /// Returns whether a call at `now` is permitted although the route may have had an outage.
+    pub(crate) fn permits_cautious_call(&self, now: Timestamp, settings: &Settings) -> bool {
+        !self.needs_caution(now, settings)
+            || self.caution.permits_call(now, self.expected_healthy_rate(now, settings), settings)
+    }
+
+    /// Returns the rate that the route is expected to accept if it has no outage, in calls per second.
+    fn expected_healthy_rate(&self, now: Timestamp, settings: &Settings) -> f64 {
+        self.bounds(settings).expected_rate(self.rate_at_last_success(now, settings), settings)
     }
 
     /// Returns the rate of successful calls before the last ones failed. Its decay since the last success is
@@ -210,7 +210,10 @@
         let pacer = self.pacer_at(now, settings);
         let trial = if let Health::Ejected(next) = pacer.health { next } else { now };
         let token = pacer.next_token_at(now, &self.bounds(settings), settings);
-        let cautious = self.next_cautious_call_at(now, settings);
+        let cautious = match self.needs_caution(now, settings) {
+            true => self.caution.opens_at(now, self.expected_healthy_rate(now, settings), settings),
+            false => now,
+        };
         self.retry_after_until.max(self.backoff_until).max(trial).max(token).max(cautious)
     }
 
