Discovery: an agent that answers, however late, is heard

Cause: `next_poll` gives a request up after 0.3 of the grace until one has succeeded, and `request_list` closed it then; the next one fares alike, up to 64 times (35 s). Evidence: `discovery: poll failed` once and no further line in the case's log; the list counted in /status/metrics stays that of the configuration.

Change: a request that is given up stays open beside the next ones (`open_polls.rs`): each slot of seven gets half as many requests as the one before and keeps its latest, so that their ages reach up to 25 s, and the first response ends all others. A watch of a reachable agent that falls silent is closed as before. Why it works: an agent of latency L is heard as soon as one request is open for L.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -32,6 +32,7 @@
 mod membership;
 mod metrics;
 mod notifications;
+mod open_polls;
 mod outbound_call;
 mod peer_reporting;
 mod poll_schedule;
--- a/src/daemon/poll_schedule.rs
+++ b/src/daemon/poll_schedule.rs
@@ -17,7 +17,8 @@
 //! In watch mode the first call is made at once, and no delay is longer than the grace period. In poll mode
 //! delays are proportional to the size of the fleet, because all senders may fail at the same time, and
 //! limited by the staleness limit. Delays double with each failure up to a maximum, and are randomized, so
-//! that senders that fail together do not retry together.
+//! that senders that fail together do not retry together. A call that has failed because the agent was
+//! unreachable stays open beside the next ones, because the agent may be slow.
 use crate::DiscoveryMode;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
@@ -99,9 +100,9 @@
 pub struct Poll {
     /// The time for which the agent may hold the call until there is a change.
     pub hold: Duration,
-    /// The time after its start at which the call is cancelled unless a response has started.
+    /// The time after its start at which the call has failed unless a response has started.
     pub response_timeout: Duration,
-    /// The time after its start at which the call is cancelled unless the response is complete.
+    /// The time after its start at which the call has failed unless the response is complete.
     pub total_timeout: Duration,
 }
 
@@ -172,11 +173,15 @@
         self.intervals = PollIntervals::new(config);
     }
 
+    /// Returns whether the last call succeeded.
+    pub fn is_reachable(&self) -> bool {
+        self.consecutive_failures == 0
+    }
+
     /// Returns the hold and the timeouts of the next call.
     pub fn next_poll(&self, scope: PollScope) -> Poll {
         let PollIntervals { mode, immediate_timeout, .. } = self.intervals;
-        let is_reachable = self.consecutive_failures == 0;
-        if scope == PollScope::Changes && (is_reachable || mode == DiscoveryMode::Poll) {
+        if scope == PollScope::Changes && (self.is_reachable() || mode == DiscoveryMode::Poll) {
             let timeout = HOLD + RESPONSE_TIMEOUT;
             return Poll { hold: HOLD, response_timeout: timeout, total_timeout: timeout };
         }
--- a/tests/sockets/watch.rs
+++ b/tests/sockets/watch.rs
@@ -195,3 +195,43 @@
     assert_eq!(node.submit_with_remaining("m1", "unsafe", "", "1.0").await.status(), 202);
     assert!(endpoint.is_idle_for(Duration::from_millis(800)).await, "a draining endpoint was called");
 }
+
+/// Guards against an agent that is never heard because it answers later than a call waits: the endpoints of
+/// the configuration stay in use, and messages go to whoever has their addresses now (review/7).
+#[tokio::test]
+async fn an_agent_that_always_answers_late_is_heard() {
+    for latency_ms in [400, 1_500] {
+        let (mut discovery, mut reused, mut moved) =
+            (TestServer::start().await, TestServer::start().await, TestServer::start().await);
+        let known = [endpoint_entry("s-1", reused.address, "single", "SERVING")];
+        let platform = Platform::served_by_test(discovery.address);
+        // The endpoint has another address now, and its old one belongs to an endpoint of another destination.
+        let mut other = endpoint_entry("s-2", reused.address, "single", "SERVING");
+        other["cell"] = json!(8);
+        let list = [endpoint_entry("s-3", moved.address, "single", "SERVING"), other];
+        let node = Node::start(&platform, &known).await;
+        let agent = tokio::spawn(async move {
+            loop {
+                let (call, list) = (discovery.next_call().await, list.clone());
+                tokio::spawn(async move {
+                    tokio::time::sleep(Duration::from_millis(latency_ms)).await;
+                    if call.request.start_line.contains("from=5&") {
+                        call.reply(list_response(5, false, &[]));
+                    } else {
+                        call.reply(list_response(5, true, &list));
+                    }
+                });
+            }
+        });
+        node.wait_for_metrics("the list is heard", |metrics| metrics["hosts_listed"] == 2).await;
+        assert_eq!(node.submit("m1", "keyed", "").await.status(), 202);
+        let call = moved.next_call().await;
+        assert_eq!(call.id(), "m1");
+        call.ok();
+        assert!(
+            reused.is_idle_for(Duration::from_millis(50)).await,
+            "{latency_ms} ms: sent to another destination"
+        );
+        agent.abort();
+    }
+}
