Endpoints: what stands at an address is known by its id, not by the address

Cause: endpoints are tracked by id, and nothing compared their addresses; `is_call_still_allowed` checks the endpoint's state, not where it is now.

Pools were keyed by id and address already.

Before: watch::an_address_belongs_to_the_endpoint_that_was_listed_there_last failed as quoted. Now it passes, as do all tests of watch.

--- a/src/daemon/event_loop/calls.rs
+++ b/src/daemon/event_loop/calls.rs
@@ -13,7 +13,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
-use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -131,9 +130,14 @@
         self.perform_when_durable(DeferredEffect::Call(call));
     }
 
-    /// Starts a call whose journal records are durable.
+    /// Starts a call whose journal records are durable, unless its messages may no longer be sent.
     pub(super) fn start_call(&mut self, call: Call) {
-        self.calls.spawn(call, &mut self.tasks);
+        let numbers: Vec<u32> = call.messages.iter().map(|message| message.number).collect();
+        if self.may_send(call.endpoint, call.address, &numbers) {
+            self.calls.spawn(call, &mut self.tasks);
+        } else {
+            call.withdraw(&self.calls.context);
+        }
     }
 
     /// Traces that a call has opened a connection.
@@ -143,16 +147,14 @@
         }
     }
 
-    /// Tells a call that had to wait whether its messages may still be sent.
-    pub(super) fn confirm_call(
-        &mut self,
-        endpoint: EndpointId,
-        messages: &[u32],
-        is_allowed: oneshot::Sender<bool>,
-    ) {
+    /// Returns whether messages that were scheduled for a call may still be sent to the endpoint at the address.
+    /// Another endpoint may have taken the address since.
+    pub(super) fn may_send(&self, endpoint: EndpointId, address: SocketAddr, messages: &[u32]) -> bool {
         let now = self.clock.now();
-        let may_send = |number: &u32| self.engine.is_call_still_allowed(now, MessageId(*number), endpoint);
-        let _ = is_allowed.send(messages.iter().all(may_send));
+        let is_at_address =
+            self.endpoints.get(endpoint).is_some_and(|tracked| tracked.listed.address == address);
+        let is_allowed = |number: &u32| self.engine.is_call_still_allowed(now, MessageId(*number), endpoint);
+        is_at_address && messages.iter().all(is_allowed)
     }
 
     /// Adds an idle connection to the pool, unless its endpoint is draining, removed, or has another address, or
--- a/src/daemon/event_loop/endpoint_table.rs
+++ b/src/daemon/event_loop/endpoint_table.rs
@@ -4,6 +4,7 @@
 use crate::profile::Names;
 use crate::{DestinationId, EndpointEntry, EndpointId, EndpointState, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 /// An endpoint with its latest entry in the endpoint list.
 pub(super) struct TrackedEndpoint {
@@ -59,6 +60,17 @@
         self.endpoints.iter().map(|(id, tracked)| (*id, tracked))
     }
 
+    /// Returns whether a list entry names a process that this sender does not know yet: another endpoint, one
+    /// at another address, or one that has started again.
+    pub(super) fn is_new_process(&self, listed: &ListedEndpoint) -> bool {
+        let known = self.id_of(&listed.id).and_then(|id| self.get(id)).map(|tracked| &tracked.listed);
+        known.is_none_or(|known| {
+            known.address != listed.address
+                || known.started_at_ms != listed.started_at_ms
+                || known.phase == Phase::Deleted
+        })
+    }
+
     /// Updates an endpoint from its list entry. Returns whether the entry is new or has changed.
     pub(super) fn update(
         &mut self,
@@ -75,6 +87,27 @@
         has_changed
     }
 
+    /// Marks the endpoints as deleted whose addresses now belong to others: each address in `taken` belongs to
+    /// the endpoints in `listed` alone. A process at an address serves one endpoint.
+    pub(super) fn delete_superseded(
+        &mut self,
+        taken: &BTreeSet<SocketAddr>,
+        listed: &BTreeSet<EndpointId>,
+        now: Timestamp,
+    ) -> Vec<EndpointId> {
+        let mut superseded = Vec::new();
+        if taken.is_empty() {
+            return superseded;
+        }
+        for (id, tracked) in self.endpoints.iter_mut().filter(|(id, _)| !listed.contains(id)) {
+            if tracked.listed.phase != Phase::Deleted && taken.contains(&tracked.listed.address) {
+                (tracked.listed.phase, tracked.phase_since) = (Phase::Deleted, now);
+                superseded.push(*id);
+            }
+        }
+        superseded
+    }
+
     /// Marks all endpoints that are missing from a complete list as deleted.
     pub(super) fn delete_unlisted(&mut self, listed: &BTreeSet<EndpointId>, now: Timestamp) -> Removals {
         let mut removals = Removals::default();
--- a/src/daemon/event_loop/endpoints.rs
+++ b/src/daemon/event_loop/endpoints.rs
@@ -6,6 +6,7 @@
 use crate::{EndpointEntry, EndpointId, Event, Timestamp};
 use micadrum_recovery::phases::Input;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 impl EventLoop {
     /// Applies a complete endpoint list, or an incremental update of one.
@@ -15,10 +16,23 @@
         let version = list.agent.map(|agent| DiscoveryVersion { agent, revision: list.revision });
         let mut changed = Vec::new();
         let mut entries = Vec::with_capacity(list.endpoints.len());
+        let mut taken_addresses = BTreeSet::new();
         for listed in list.endpoints {
+            let is_new = listed.phase != Phase::Deleted && self.endpoints.is_new_process(&listed);
+            let address = listed.address;
             let Some(id) = self.update_endpoint(listed, now, &mut changed) else { continue };
+            if is_new {
+                // Connections to an earlier process of the endpoint are of no use.
+                self.calls.pool.close(id);
+                taken_addresses.insert(address);
+            }
             entries.extend(self.endpoint_entry(id));
         }
+        if !list.complete {
+            let superseded = self.delete_superseded(&taken_addresses, &entries, now);
+            entries.extend(superseded.iter().filter_map(|id| self.endpoint_entry(*id)));
+            changed.extend(superseded);
+        }
         if list.complete {
             changed.extend(self.delete_unlisted(&entries, now));
             self.queue.push(now, Event::EndpointSnapshot(entries));
@@ -53,6 +67,27 @@
         Some(id)
     }
 
+    /// Marks the endpoints that are not among `entries` as deleted whose addresses are `taken` by some of these,
+    /// and returns them.
+    fn delete_superseded(
+        &mut self,
+        taken: &BTreeSet<SocketAddr>,
+        entries: &[EndpointEntry],
+        now: Timestamp,
+    ) -> Vec<EndpointId> {
+        let listed: BTreeSet<EndpointId> = entries.iter().map(|entry| entry.endpoint).collect();
+        let superseded = self.endpoints.delete_superseded(taken, &listed, now);
+        for id in &superseded {
+            if let Some(tracked) = self.endpoints.get(*id) {
+                let ListedEndpoint { id, address, .. } = &tracked.listed;
+                self.log(format_args!(
+                    "discovery: endpoint removed, another one has its address endpoint={id} address={address}"
+                ));
+            }
+        }
+        superseded
+    }
+
     /// Marks the endpoints that are not among `entries` as deleted, and returns those that were not deleted
     /// before.
     fn delete_unlisted(&mut self, entries: &[EndpointEntry], now: Timestamp) -> Vec<EndpointId> {
--- a/src/daemon/event_loop/mod.rs
+++ b/src/daemon/event_loop/mod.rs
@@ -199,8 +199,8 @@
             }
             LoopEvent::CallCompleted(completion) => self.complete_call(completion),
             LoopEvent::Connected(endpoint) => self.trace_connected(endpoint),
-            LoopEvent::ConfirmCall { endpoint, messages, is_allowed } => {
-                self.confirm_call(endpoint, &messages, is_allowed);
+            LoopEvent::ConfirmCall { endpoint, address, messages, is_allowed } => {
+                let _ = is_allowed.send(self.may_send(endpoint, address, &messages));
             }
             LoopEvent::ConnectionIdle { endpoint, address, connection } => {
                 self.pool_connection(endpoint, address, connection);
--- a/src/daemon/events.rs
+++ b/src/daemon/events.rs
@@ -64,6 +64,8 @@
     ConfirmCall {
         /// The endpoint of the call.
         endpoint: EndpointId,
+        /// The address that the call is made to.
+        address: SocketAddr,
         /// The numbers of the call's messages.
         messages: Vec<u32>,
         /// Receives whether the messages may be sent.
--- a/src/daemon/outbound_call/mod.rs
+++ b/src/daemon/outbound_call/mod.rs
@@ -111,7 +111,7 @@
         let open = match self.open(idle, context).await {
             Ok(Some(open)) => open,
             Ok(None) => {
-                self.complete(context, self.same_outcome_for_all(Outcome::Deferred, false), None, None);
+                self.withdraw(context);
                 return None;
             }
             Err(outcome) => {
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Reports that nothing was sent, because the messages may no longer be sent to the endpoint.
+    pub fn withdraw(&self, context: &CallContext) {
+        self.complete(context, self.same_outcome_for_all(Outcome::Deferred, false), None, None);
+    }
+
     fn received_answer(&self, connection: &EndpointConnection) -> ReceivedAnswer {
         ReceivedAnswer {
             is_first_on_connection: connection.trace.is_first_request(),
@@ -409,7 +414,8 @@
     async fn is_still_allowed(&self, context: &CallContext) -> bool {
         let (is_allowed, allowed) = oneshot::channel();
         let messages = self.messages.iter().map(|message| message.number).collect();
-        let confirm = LoopEvent::ConfirmCall { endpoint: self.endpoint, messages, is_allowed };
+        let (endpoint, address) = (self.endpoint, self.address);
+        let confirm = LoopEvent::ConfirmCall { endpoint, address, messages, is_allowed };
         let _ = context.events.send(confirm);
         // After the event loop has ended, no message is sent.
         allowed.await.unwrap_or(false)
--- a/src/decision/guards.rs
+++ b/src/decision/guards.rs
@@ -36,7 +36,8 @@
             return false;
         };
         let [own, shared] = self.directory.route_slots(endpoint);
-        self.guard_draining(endpoint)
+        endpoint.destination == state.message.destination
+            && self.guard_draining(endpoint)
             && self.is_retryable_at(state, now)
             && shared.or(own).is_none_or(|slot| now >= self.directory.route(slot).retry_after_until)
     }
--- a/tests/sockets/watch.rs
+++ b/tests/sockets/watch.rs
@@ -235,3 +235,33 @@
         agent.abort();
     }
 }
+
+/// Guards against taking a new endpoint for the one that had its address before: discovery tells of the new one
+/// first, and of the end of the old one later.
+#[tokio::test]
+async fn an_address_belongs_to_the_endpoint_that_was_listed_there_last() {
+    let (mut endpoint, platform) = (TestServer::start().await, Platform::start().await);
+    let old = endpoint_entry("s-1", endpoint.address, "single", "SERVING");
+    let node = Node::start(&platform, std::slice::from_ref(&old)).await;
+    assert_eq!(node.submit("m1", "keyed", "").await.status(), 202);
+    endpoint.next_call().await.ok();
+    node.wait_for_metrics("the message is delivered", |metrics| metrics["inflight"] == 0).await;
+    // The new endpoint belongs to another destination.
+    let mut new = endpoint_entry("s-2", endpoint.address, "single", "SERVING");
+    new["cell"] = json!(8);
+    platform.update_endpoints(&[new]);
+    node.wait_for_metrics("only the new endpoint is listed", |metrics| metrics["hosts_listed"] == 1).await;
+    let _ = node.submit_with_remaining("m2", "keyed", "", "1.5").await;
+    assert!(endpoint.is_idle_for(Duration::from_millis(700)).await, "m2 was sent to another destination");
+    // The old endpoint comes back at another address.
+    let mut moved = TestServer::start().await;
+    platform.update_endpoints(&[endpoint_entry("s-1", moved.address, "single", "SERVING")]);
+    node.wait_for_metrics("both endpoints are listed", |metrics| metrics["hosts_listed"] == 2).await;
+    assert_eq!(node.submit("m3", "keyed", "").await.status(), 202);
+    let mut delivered = moved.next_call().await;
+    while delivered.id() != "m3" {
+        delivered.ok();
+        delivered = moved.next_call().await;
+    }
+    delivered.ok();
+}
