Ingress: one budget of bytes over all connections, held until the response

Cause: a body counted against its limit only while it was read. Once it was complete it was free, whatever it waited for: the event loop, or the successor for up to 400 ms. Heads counted nowhere, and the head with the connection's read buffer was kept until the response.

Change: `request_budget.rs`: header values and body count from when they are read until the response, over all connections. Of the head only the values that a message needs are kept, so its buffer is free while the body is read. A wrong header is answered before the body is read.

--- a/src/daemon/admin_server.rs
+++ b/src/daemon/admin_server.rs
@@ -194,7 +194,8 @@
         permit: &ConnectionPermit,
         change: MaintenanceChange,
     ) -> Response<Full<Bytes>> {
-        let body = match timeout(REQUEST_TIMEOUT, read_body(request.into_body(), &permit.limits)).await {
+        let mut reserved = permit.limits.requests.begin_request();
+        let body = match timeout(REQUEST_TIMEOUT, read_body(request.into_body(), &mut reserved)).await {
             Ok(Ok(body)) => body,
             Ok(Err(response)) => return response,
             Err(_) => return text_response(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
--- a/src/daemon/client_listener.rs
+++ b/src/daemon/client_listener.rs
@@ -43,7 +43,7 @@
         let budget = &environment.budget;
         let limits = ConnectionLimits::new(
             budget.client_connections,
-            budget.request_body_bytes,
+            budget.request_bytes,
             Closable::Idle,
             MIN_UNSERVED_AGE,
         );
--- a/src/daemon/ingress/connection_limits.rs
+++ b/src/daemon/ingress/connection_limits.rs
@@ -3,12 +3,13 @@
 //! A connection is idle while no request on it waits for a response. When all permits are taken, the
 //! connection that has been idle longest is asked to close. A connection that has not carried a response yet
 //! is closed last, and only after a minimum time, because its first request may be in transit.
+use super::request_budget::RequestBudget;
 use super::request_stage::{RequestStage, StageCounts};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, SemaphorePermit};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, timeout};
 
 /// How often [`ConnectionLimits::admit`] looks for an idle connection to close while it waits for a permit.
@@ -23,10 +24,11 @@
     Incomplete,
 }
 
-/// Limits on the number of open connections and on the total size of the request bodies that are being read.
+/// Limits on the number of open connections and on the total size of their requests.
 pub struct ConnectionLimits {
     permits: Arc<Semaphore>,
-    body_bytes: Semaphore,
+    /// The bytes of the requests on all connections.
+    pub requests: RequestBudget,
     idle: Mutex<IdleConnections>,
     stages: Mutex<StageCounts>,
     max_connections: usize,
@@ -81,18 +83,18 @@
 }
 
 impl ConnectionLimits {
-    /// Allows `max_connections` open connections, and `max_body_bytes` in all request bodies that are being
-    /// read. A connection that is `closable` and has not carried a response may be closed for another one after
+    /// Allows `max_connections` open connections, and `max_request_bytes` in all requests that have no response
+    /// yet. A connection that is `closable` and has not carried a response may be closed for another one after
     /// `min_unserved_age`.
     pub fn new(
         max_connections: usize,
-        max_body_bytes: usize,
+        max_request_bytes: usize,
         closable: Closable,
         min_unserved_age: Duration,
     ) -> Arc<Self> {
         Arc::new(Self {
             permits: Arc::new(Semaphore::new(max_connections)),
-            body_bytes: Semaphore::new(max_body_bytes),
+            requests: RequestBudget::new(max_request_bytes),
             idle: Mutex::default(),
             stages: Mutex::default(),
             max_connections,
@@ -130,12 +132,6 @@
         }
     }
 
-    /// Reserves `bytes` for a request body until the permit is dropped. Returns `None` if the limit would be
-    /// exceeded.
-    pub fn reserve_body(&self, bytes: usize) -> Option<SemaphorePermit<'_>> {
-        self.body_bytes.try_acquire_many(bytes as u32).ok()
-    }
-
     /// Returns how many open connections are at each stage of a request.
     pub fn stage_counts(&self) -> StageCounts {
         *self.stages()
--- a/src/daemon/ingress/mod.rs
+++ b/src/daemon/ingress/mod.rs
@@ -7,6 +7,7 @@
 pub mod http_connection;
 mod lingering_close;
 mod request_activity;
+mod request_budget;
 mod request_stage;
 mod submission;
 mod unanswered_requests;
@@ -28,7 +29,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use submission::Submission;
+use submission::SubmissionHead;
 pub use submission::read_body;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
@@ -209,24 +210,32 @@
     if head.headers.contains_key(TRANSFER_ENCODING) {
         return text_response(StatusCode::LENGTH_REQUIRED, "a Content-Length is needed, and no coding\n");
     }
-    let body = match timeout(BODY_TIMEOUT, read_body(body, &permit.limits)).await {
+    let submission = match SubmissionHead::read(&head.headers) {
+        Ok(submission) => submission,
+        Err(error) => return text_response(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    };
+    // The head keeps the connection's read buffer, and is not needed while the body is read.
+    drop(head);
+    // What the request holds counts until its response.
+    let mut reserved = permit.limits.requests.begin_request();
+    if reserved.grow(submission.bytes()).is_err() {
+        return submission::busy();
+    }
+    let body = match timeout(BODY_TIMEOUT, read_body(body, &mut reserved)).await {
         Ok(Ok(body)) => body,
         Ok(Err(response)) => return response,
         Err(_) => return text_response(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
     };
-    let submission = match Submission::read(&head.headers, body.clone()) {
-        Ok(submission) => submission,
-        Err(error) => return text_response(StatusCode::BAD_REQUEST, format!("{error}\n")),
-    };
     // The request was read completely: from here on, a missing response is a violation.
     permit.set_request_read();
     let (reply, response) = oneshot::channel();
     let deadline = received_at + submission.remaining;
-    let _ = context.events.send(LoopEvent::Submit { message: submission.message, deadline, reply });
+    let message = submission.message(body.clone());
+    let _ = context.events.send(LoopEvent::Submit { message, deadline, reply });
     match response.await {
         // The event loop was handed over and has not accepted the message.
         Err(_) if context.is_handing_over() => {
-            context.forward_to_successor(Method::POST, "/api", &head.headers, body).await
+            context.forward_to_successor(Method::POST, "/api", &submission.headers(), body).await
         }
         // An event loop that has ended has not accepted the message either.
         response => submit_response(response.unwrap_or(SubmitResponse::Rejected)),
--- a/src/daemon/ingress/submission.rs
+++ b/src/daemon/ingress/submission.rs
@@ -1,11 +1,11 @@
 //! Reads a submitted message from the headers and the body of a request.
-use super::connection_limits::ConnectionLimits;
+use super::request_budget::RequestBytes;
 use super::text_response;
 use crate::daemon::journal::SubmittedMessage;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
 use std::time::Duration;
 
@@ -16,6 +16,10 @@
 /// Upper bound on a message's time to live, in seconds. Longer ones are reduced to it.
 const MAX_REMAINING_SECONDS: f64 = 86_400.0;
 
+/// The headers of a submitted message.
+const FIELDS: [&str; 8] =
+    ["X-Txn", "X-Lane", "X-Org", "X-Entity", "X-Remaining", "X-Resent", "Idempotency-Key", "X-Envelope"];
+
 /// Why the headers of a submitted message are invalid. The texts are sent to clients.
 #[derive(Debug, thiserror::Error)]
 pub enum SubmissionError {
@@ -39,30 +43,57 @@
     NoDestination,
 }
 
-/// A submitted message and its time to live.
-pub struct Submission {
-    pub message: SubmittedMessage,
+/// The header values of a submitted message, without the rest of the head.
+pub struct SubmissionHead {
+    /// The values of [`FIELDS`] that the request has.
+    values: Vec<(&'static str, String)>,
+    destination: u64,
+    /// The time for which the message may be delivered.
     pub remaining: Duration,
 }
 
-impl Submission {
-    /// Reads a message from a request.
+impl SubmissionHead {
+    /// Reads the header values of a message.
     ///
     /// # Errors
-    /// Returns an error if a header is missing or invalid.
-    pub fn read(headers: &HeaderMap, body: Bytes) -> Result<Self, SubmissionError> {
+    /// A header is missing or invalid.
+    pub fn read(headers: &HeaderMap) -> Result<Self, SubmissionError> {
         let remaining = remaining(headers)?;
-        let destination = destination(headers)?;
-        let message = SubmittedMessage {
-            id: required(headers, "X-Txn")?,
-            class: required(headers, "X-Lane")?,
-            tenant: optional(headers, "X-Org")?,
-            key: optional(headers, "X-Entity")?,
-            idempotency_key: optional(headers, "Idempotency-Key")?,
-            destination: destination.ok_or(SubmissionError::NoDestination)?,
+        let destination = destination(headers)?.ok_or(SubmissionError::NoDestination)?;
+        required(headers, "X-Txn")?;
+        required(headers, "X-Lane")?;
+        let mut values = Vec::with_capacity(FIELDS.len());
+        for name in FIELDS {
+            values.extend(optional(headers, name)?.map(|value| (name, value)));
+        }
+        Ok(Self { values, destination, remaining })
+    }
+
+    /// Returns the size of the header values, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.values.iter().map(|(_, value)| value.len()).sum()
+    }
+
+    /// Returns the header values, to forward the request.
+    pub fn headers(&self) -> HeaderMap {
+        let value = |text: &String| HeaderValue::from_str(text).ok();
+        let named = |name: &'static str| HeaderName::from_bytes(name.as_bytes()).ok();
+        self.values.iter().filter_map(|(name, text)| Some((named(name)?, value(text)?))).collect()
+    }
+
+    /// Returns the message with this body.
+    pub fn message(&self, body: Bytes) -> SubmittedMessage {
+        let value =
+            |name| self.values.iter().find(|(known, _)| *known == name).map(|(_, value)| value.clone());
+        SubmittedMessage {
+            id: value("X-Txn").unwrap_or_default(),
+            class: value("X-Lane").unwrap_or_default(),
+            tenant: value("X-Org"),
+            key: value("X-Entity"),
+            idempotency_key: value("Idempotency-Key"),
+            destination: self.destination,
             body,
-        };
-        Ok(Self { message, remaining })
+        }
     }
 }
 
@@ -97,8 +128,8 @@
     Ok(number.and_then(|number| number.parse().ok()))
 }
 
-/// Reads a complete request body. While it is read, its bytes count towards the limit for all connections
-/// together.
+/// Reads a complete request body, whose bytes count towards the limit for all connections together as long as
+/// `reserved` lives.
 ///
 /// The body is copied, because a slice would keep the connection's whole read buffer allocated as long as the
 /// message.
@@ -108,23 +139,27 @@
 /// connections.
 pub async fn read_body(
     mut body: Incoming,
-    limits: &ConnectionLimits,
+    reserved: &mut RequestBytes,
 ) -> Result<Bytes, Response<Full<Bytes>>> {
     let too_large = || text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n");
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(too_large());
     }
     let mut complete = Vec::new();
-    let mut reserved = Vec::new();
     while let Some(frame) = body.frame().await {
         let unreadable = |_| text_response(StatusCode::BAD_REQUEST, "the body cannot be read\n");
         let Ok(data) = frame.map_err(unreadable)?.into_data() else { continue };
         if complete.len() + data.len() > MAX_BODY_BYTES {
             return Err(too_large());
         }
-        let busy = || text_response(StatusCode::SERVICE_UNAVAILABLE, "too many bodies at once\n");
-        reserved.push(limits.reserve_body(data.len()).ok_or_else(busy)?);
+        reserved.grow(data.len()).map_err(|_| busy())?;
+        complete.reserve_exact(data.len());
         complete.extend_from_slice(&data);
     }
     Ok(complete.into())
 }
+
+/// Returns the response to a request for which there is no space beside those of the other connections.
+pub fn busy() -> Response<Full<Bytes>> {
+    text_response(StatusCode::SERVICE_UNAVAILABLE, "too many requests at once\n")
+}
--- a/src/daemon/resource_budget.rs
+++ b/src/daemon/resource_budget.rs
@@ -13,8 +13,8 @@
 const CLIENT_CONNECTION_BYTES: usize = 32 * 1024;
 /// All client connections together may use the memory divided by this.
 const CLIENT_MEMORY_DIVISOR: usize = 3;
-/// Request bodies that are being read may use the memory divided by this.
-const REQUEST_BODY_MEMORY_DIVISOR: usize = 8;
+/// Requests that have no response yet may use the memory divided by this.
+const REQUEST_MEMORY_DIVISOR: usize = 8;
 /// An endpoint list that is being read may use the memory divided by this.
 const ENDPOINT_LIST_MEMORY_DIVISOR: usize = 8;
 /// The minimum for the maximum size of an endpoint list, in bytes.
@@ -38,8 +38,8 @@
 pub struct ResourceBudget {
     /// The maximum number of concurrent client connections.
     pub client_connections: usize,
-    /// The maximum total size of the request bodies that are being read, over all clients.
-    pub request_body_bytes: usize,
+    /// The maximum total size of the requests that have no response yet, over all clients.
+    pub request_bytes: usize,
     /// The maximum size of an endpoint list, in bytes.
     pub endpoint_list_bytes: usize,
     /// The maximum number of idle connections to endpoints.
@@ -66,7 +66,7 @@
         let max_clients_in_memory = memory / CLIENT_MEMORY_DIVISOR / CLIENT_CONNECTION_BYTES;
         Self {
             client_connections: limits.sockets.saturating_sub(reserved).min(max_clients_in_memory).max(1),
-            request_body_bytes: memory / REQUEST_BODY_MEMORY_DIVISOR,
+            request_bytes: memory / REQUEST_MEMORY_DIVISOR,
             endpoint_list_bytes: (memory / ENDPOINT_LIST_MEMORY_DIVISOR).max(MIN_ENDPOINT_LIST_BYTES),
             idle_connections: idle,
             unread_responses: unread,
--- a/src/daemon/resource_budget/tests.rs
+++ b/src/daemon/resource_budget/tests.rs
@@ -17,7 +17,7 @@
                 + 1;
             assert!(
                 all <= sockets
-                    && budget.client_connections * CLIENT_CONNECTION_BYTES + budget.request_body_bytes
+                    && budget.client_connections * CLIENT_CONNECTION_BYTES + budget.request_bytes
                         < 16_000_000
             );
             assert!(
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -8,6 +8,7 @@
 mod durability;
 mod handover;
 mod harness;
+mod hostile_clients;
 mod notifications;
 mod peers;
 mod persisted_state;
