Ingress: a client that sends without a pause gets one response a turn

Cause: the connection's task was ready again at once, 16 requests at a time, and the runtime looks for other input only after 61 polls: 976 responses to that client for each step of another one's request.

Change: from the second response since a connection last waited for input on, it yields until other input was looked for. Usual clients send one request and wait, and never yield.

--- a/src/daemon/ingress/connection_limits.rs
+++ b/src/daemon/ingress/connection_limits.rs
@@ -164,6 +164,8 @@
     idle_since: Instant,
     /// The key in the order of closing, or `None` while the connection is busy.
     close_order: Option<CloseOrder>,
+    /// The number of responses created since the connection last had to wait for input.
+    responses_in_turn: usize,
 }
 
 impl ConnectionPermit {
@@ -171,7 +173,13 @@
         limits.stages().add(RequestStage::Idle);
         let now = Instant::now();
         let stage = RequestStage::Idle;
-        let state = ConnectionState { stage, stage_since: now, idle_since: now, close_order: None };
+        let state = ConnectionState {
+            stage,
+            stage_since: now,
+            idle_since: now,
+            close_order: None,
+            responses_in_turn: 0,
+        };
         let permit = Self { limits, close_signal: Arc::default(), state: Mutex::new(state), _permit: permit };
         permit.enter_idle(true);
         permit
@@ -219,6 +227,19 @@
         self.set_stage(RequestStage::Processing);
     }
 
+    /// Records that no input is available, so that the connection waits while others are served.
+    pub fn set_input_drained(&self) {
+        self.state().responses_in_turn = 0;
+    }
+
+    /// Counts a response. Returns whether the connection has to let others be served before it, because it has
+    /// had a response since it last waited.
+    pub fn must_yield(&self) -> bool {
+        let mut state = self.state();
+        state.responses_in_turn += 1;
+        state.responses_in_turn > 1
+    }
+
     /// Records that the response to the last request was created and will be written next.
     pub fn set_responded(&self) {
         self.set_stage(RequestStage::Responding);
--- a/src/daemon/ingress/http_connection.rs
+++ b/src/daemon/ingress/http_connection.rs
@@ -22,6 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 
 /// The time for which a request head is waited for after its first byte, even if the connection was idle for
@@ -66,8 +67,15 @@
     let stream =
         RequestActivity::new(LingeringClose::new(stream), permit.clone(), settings.unanswered.clone());
     let service = service_fn(|request| {
-        let response = respond(request);
-        Box::pin(async move { Ok::<_, Infallible>(response.await) })
+        let (response, permit) = (respond(request), permit.clone());
+        Box::pin(async move {
+            let response = response.await;
+            // A client that sends without a pause gets one response while others get their turn.
+            if permit.must_yield() {
+                yield_now().await;
+            }
+            Ok::<_, Infallible>(response)
+        })
     });
     let mut connection = http1::Builder::new()
         .max_buf_size(settings.max_head_bytes)
--- a/src/daemon/ingress/request_activity.rs
+++ b/src/daemon/ingress/request_activity.rs
@@ -79,7 +79,10 @@
             return Poll::Ready(Ok(()));
         }
         let before = buf.filled().len();
-        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        let Poll::Ready(read) = Pin::new(&mut self.stream).poll_read(cx, buf) else {
+            self.permit.set_input_drained();
+            return Poll::Pending;
+        };
         self.record_error(read)?;
         if buf.filled().len() > before {
             self.permit.set_busy();
--- a/tests/sockets/hostile_clients.rs
+++ b/tests/sockets/hostile_clients.rs
@@ -2,6 +2,7 @@
 use super::handover::take_over_unconfirmed;
 use super::harness::*;
 use serde_json::json;
+use std::io::{Read, Write};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -72,3 +73,50 @@
     let peak = peak_memory_kb(&node);
     assert!(peak * 1024 < MEMORY_MB * 1_000_000, "{peak} kB");
 }
+
+/// A request that the process answers at once.
+const READY_REQUEST: &[u8] = b"GET /-/ready HTTP/1.1\r\n\r\n";
+/// Requests that another client makes while one sends without a pause.
+const OTHER_REQUESTS: usize = 60;
+/// The responses to the client without a pause in that time. If it is served until the system reports other
+/// input, after 61 polls with 16 requests each, it gets 58,560.
+const MAX_RESPONSES: usize = 20_000;
+
+/// Guards against a client that sends small requests on one connection without a pause, and keeps the process
+/// from seeing the requests of all others.
+#[tokio::test]
+async fn a_client_that_sends_without_a_pause_gets_its_share_of_turns() {
+    let platform = Platform::start().await;
+    let node = Node::start_with(&platform, &[], small_machine).await;
+    let greedy = std::net::TcpStream::connect(node.address).unwrap();
+    let (mut requests, mut responses) = (greedy.try_clone().unwrap(), greedy.try_clone().unwrap());
+    let writer = std::thread::spawn(move || {
+        let many = READY_REQUEST.repeat(600);
+        while requests.write_all(&many).is_ok() {}
+    });
+    let received = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let counter = received.clone();
+    let reader = std::thread::spawn(move || {
+        let mut buffer = vec![0; 1 << 20];
+        while let Ok(bytes @ 1..) = responses.read(&mut buffer) {
+            let is_start_of_response = |bytes: &&[u8]| bytes == b"HTTP";
+            let count = buffer[..bytes].windows(4).filter(is_start_of_response).count();
+            counter.fetch_add(count, std::sync::atomic::Ordering::Relaxed);
+        }
+    });
+    while received.load(std::sync::atomic::Ordering::Relaxed) < 5_000 {
+        tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+    }
+    let mut other = TcpStream::connect(node.address).await.unwrap();
+    let mut counts = Vec::new();
+    for _ in 0..=OTHER_REQUESTS {
+        other.write_all(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+        assert_eq!(HttpMessage::read(&mut other).await.unwrap().status(), 200);
+        counts.push(received.load(std::sync::atomic::Ordering::Relaxed));
+    }
+    greedy.shutdown(std::net::Shutdown::Both).unwrap();
+    writer.join().unwrap();
+    reader.join().unwrap();
+    let served = counts[OTHER_REQUESTS] - counts[0];
+    assert!(served <= MAX_RESPONSES, "{served} responses while another client got {OTHER_REQUESTS}");
+}
