Ingress: a body over the limit is answered 413 before the header values are read

Seen: clients::closes_stalled_clients_and_refuses_oversized_bodies failed (400 in place of 413). Cause: with the budget of the requests, the header values are read before the body, and a request that lacks them was answered for that first. The stated length is compared first again.

--- a/src/daemon/ingress/mod.rs
+++ b/src/daemon/ingress/mod.rs
@@ -210,6 +210,9 @@
     if head.headers.contains_key(TRANSFER_ENCODING) {
         return text_response(StatusCode::LENGTH_REQUIRED, "a Content-Length is needed, and no coding\n");
     }
+    if submission::is_too_large(&body) {
+        return submission::too_large();
+    }
     let submission = match SubmissionHead::read(&head.headers) {
         Ok(submission) => submission,
         Err(error) => return text_response(StatusCode::BAD_REQUEST, format!("{error}\n")),
--- a/src/daemon/ingress/submission.rs
+++ b/src/daemon/ingress/submission.rs
@@ -141,8 +141,7 @@
     mut body: Incoming,
     reserved: &mut RequestBytes,
 ) -> Result<Bytes, Response<Full<Bytes>>> {
-    let too_large = || text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n");
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
+    if is_too_large(&body) {
         return Err(too_large());
     }
     let mut complete = Vec::new();
@@ -159,6 +158,16 @@
     Ok(complete.into())
 }
 
+/// Returns whether a request states that its body is over the limit.
+pub fn is_too_large(body: &Incoming) -> bool {
+    body.size_hint().lower() > MAX_BODY_BYTES as u64
+}
+
+/// Returns the response to a request whose body is over the limit.
+pub fn too_large() -> Response<Full<Bytes>> {
+    text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n")
+}
+
 /// Returns the response to a request for which there is no space beside those of the other connections.
 pub fn busy() -> Response<Full<Bytes>> {
     text_response(StatusCode::SERVICE_UNAVAILABLE, "too many requests at once\n")
