Ingress: a closed connection's unread requests are nobody's

Of 300 pipelined requests before a close, 1 to 2 were sent after it with nothing read, and one while the client waited. What could reach that one late was a request that the old process had forwarded and given up after 400 ms: it was closed like any other and accepted later.

Cause: a request counts as submitted as soon as it is read; whether its client is still there was never looked at, and a close looks like a closed sending side.

Change: with each read, and before each further request on a connection, the sender looks whether the client has closed or reset it; the request then gets 503, which promises that it has no effect, so that a client that closed only its sending side loses nothing. Forwarded requests use connections that end with a reset, so that an abandoned one is never taken for a client that half-closed.

Before: hostile_clients::unread_requests_on_closed_connections... failed: left-1 and pipelined-0 were sent.

--- a/src/daemon/connection/mod.rs
+++ b/src/daemon/connection/mod.rs
@@ -6,7 +6,7 @@
 mod request_progress;
 mod status_line;
 
-use super::ports::Network;
+use super::ports::{Network, Stream};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -93,10 +93,30 @@
         connect_timeout: Duration,
         on_unsolicited: impl FnOnce(&[u8]) + 'static,
     ) -> Result<Self, CallError> {
-        let stream = match timeout(connect_timeout, network.connect(address)).await {
-            Ok(stream) => stream.map_err(CallError::Connect)?,
-            Err(_) => return Err(CallError::Connect(io::ErrorKind::TimedOut.into())),
-        };
+        let stream = connect(network, address, connect_timeout).await?;
+        Self::start(stream, on_unsolicited).await
+    }
+
+    /// Opens a connection to `address` that ends with a reset: a request on it that the peer has not read yet
+    /// when it is dropped is recognizably abandoned.
+    ///
+    /// # Errors
+    /// Returns an error if connecting fails or takes longer than `connect_timeout`.
+    pub async fn open_abortive(
+        network: &dyn Network,
+        address: SocketAddr,
+        connect_timeout: Duration,
+    ) -> Result<Self, CallError> {
+        let stream = connect(network, address, connect_timeout).await?;
+        stream.reset_on_close();
+        Self::start(stream, |_| {}).await
+    }
+
+    /// Starts to drive a connection that was opened.
+    async fn start(
+        stream: Box<dyn Stream>,
+        on_unsolicited: impl FnOnce(&[u8]) + 'static,
+    ) -> Result<Self, CallError> {
         let exchange = SharedExchange::default();
         let io = TokioIo::new(ObservedStream::new(stream, exchange.clone()));
         let mut builder = http1::Builder::new();
@@ -192,6 +212,17 @@
     }
 }
 
+async fn connect(
+    network: &dyn Network,
+    address: SocketAddr,
+    connect_timeout: Duration,
+) -> Result<Box<dyn Stream>, CallError> {
+    match timeout(connect_timeout, network.connect(address)).await {
+        Ok(stream) => stream.map_err(CallError::Connect),
+        Err(_) => Err(CallError::Connect(io::ErrorKind::TimedOut.into())),
+    }
+}
+
 /// Returns whether a connection failed because it received bytes while no request was in progress. Such an
 /// error has no cause, unlike one of the system, and hyper has no predicate for it.
 fn is_unsolicited_input(error: &hyper::Error) -> bool {
--- a/src/daemon/ingress/connection_limits.rs
+++ b/src/daemon/ingress/connection_limits.rs
@@ -166,6 +166,8 @@
     close_order: Option<CloseOrder>,
     /// The number of responses created since the connection last had to wait for input.
     responses_in_turn: usize,
+    /// Whether the client had closed the connection when that was last looked at.
+    has_client_left: bool,
 }
 
 impl ConnectionPermit {
@@ -179,6 +181,7 @@
             idle_since: now,
             close_order: None,
             responses_in_turn: 0,
+            has_client_left: false,
         };
         let permit = Self { limits, close_signal: Arc::default(), state: Mutex::new(state), _permit: permit };
         permit.enter_idle(true);
@@ -227,6 +230,17 @@
         self.set_stage(RequestStage::Processing);
     }
 
+    /// Records that the client has closed the connection.
+    pub fn set_client_left(&self) {
+        self.state().has_client_left = true;
+    }
+
+    /// Returns whether the client has closed the connection, so that nobody waits for the response to a request
+    /// that was unread until then.
+    pub fn has_client_left(&self) -> bool {
+        self.state().has_client_left
+    }
+
     /// Records that no input is available, so that the connection waits while others are served.
     pub fn set_input_drained(&self) {
         self.state().responses_in_turn = 0;
--- a/src/daemon/ingress/forwarding.rs
+++ b/src/daemon/ingress/forwarding.rs
@@ -32,7 +32,7 @@
 ) -> Response<Full<Bytes>> {
     // No process has accepted the message.
     let rejected = || text_response(StatusCode::SERVICE_UNAVAILABLE, "not taken on\n");
-    let Ok(mut connection) = Connection::open(network, address, FORWARD_TIMEOUT).await else {
+    let Ok(mut connection) = Connection::open_abortive(network, address, FORWARD_TIMEOUT).await else {
         return rejected();
     };
     let is_forwarded = |name: &HeaderName| ![HOST, CONNECTION, CONTENT_LENGTH].contains(name);
--- a/src/daemon/ingress/http_connection.rs
+++ b/src/daemon/ingress/http_connection.rs
@@ -80,7 +80,8 @@
     let mut connection = http1::Builder::new()
         .max_buf_size(settings.max_head_bytes)
         .keep_alive(settings.keep_alive)
-        // A client may close its sending side after the request and still wait for the response.
+        // A client may close its sending side after the request and still wait for the response. If it does so
+        // before the request is read, it cannot be told from one that has left: its request is rejected.
         .half_close(true)
         .serve_connection(TokioIo::new(stream), service);
     let end = {
--- a/src/daemon/ingress/lingering_close.rs
+++ b/src/daemon/ingress/lingering_close.rs
@@ -27,6 +27,11 @@
         Self { stream, linger_until: None }
     }
 
+    /// Returns whether the client is known to have closed the connection, or at least its sending side.
+    pub fn has_client_closed(&self) -> bool {
+        self.stream.has_peer_closed()
+    }
+
     /// Returns whether unread input, the end of the stream or an error has arrived.
     pub fn has_unread(&self) -> bool {
         self.stream.check_no_unread_input().is_err()
--- a/src/daemon/ingress/mod.rs
+++ b/src/daemon/ingress/mod.rs
@@ -229,6 +229,10 @@
         Ok(Err(response)) => return response,
         Err(_) => return text_response(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
     };
+    // Nobody waits for the response, and the client may submit the message again elsewhere.
+    if permit.has_client_left() {
+        return text_response(StatusCode::SERVICE_UNAVAILABLE, "the connection is closed\n");
+    }
     // The request was read completely: from here on, a missing response is a violation.
     permit.set_request_read();
     let (reply, response) = oneshot::channel();
--- a/src/daemon/ingress/request_activity.rs
+++ b/src/daemon/ingress/request_activity.rs
@@ -60,6 +60,14 @@
         outcome
     }
 
+    /// Records whether the client has closed the connection. What it sent before is then read, but nobody waits
+    /// for the responses.
+    fn look_for_close(&self) {
+        if self.stream.has_client_closed() {
+            self.permit.set_client_left();
+        }
+    }
+
     /// Stops reading if the connection was asked to close and no part of a request has arrived. Returns
     /// whether reading has stopped. Checks for unread input last, as that is a system call.
     fn stop_if_requested(&mut self) -> bool {
@@ -86,6 +94,7 @@
         self.record_error(read)?;
         if buf.filled().len() > before {
             self.permit.set_busy();
+            self.look_for_close();
         } else {
             self.has_client_closed = true;
         }
@@ -105,6 +114,10 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        if self.permit.stage() == RequestStage::Responding {
+            // The next request may have been read already.
+            self.look_for_close();
+        }
         self.permit.set_flushed();
         Poll::Ready(Ok(()))
     }
--- a/src/daemon/ports.rs
+++ b/src/daemon/ports.rs
@@ -35,6 +35,16 @@
     /// # Errors
     /// `ConnectionAborted` if there is unread input, or the error of the connection.
     fn check_no_unread_input(&self) -> io::Result<()>;
+
+    /// Returns whether the peer is known to have closed the connection, or at least its sending side. Queries
+    /// the system. If there is unread input, only a reset is known. False if this stream cannot tell.
+    fn has_peer_closed(&self) -> bool {
+        false
+    }
+
+    /// Makes the connection end with a reset when it is dropped, so that the peer can tell that nobody waits for
+    /// its response. No effect if this stream has no resets.
+    fn reset_on_close(&self) {}
 }
 
 /// A listening socket.
--- a/src/daemon/system.rs
+++ b/src/daemon/system.rs
@@ -118,6 +118,21 @@
             Ok(_) => Err(io::ErrorKind::ConnectionAborted.into()),
         }
     }
+
+    fn has_peer_closed(&self) -> bool {
+        let socket = SockRef::from(&self.0.0);
+        match socket.peek(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => true,
+            // A socket that was reset has no peer any more, even if it has unread input.
+            Ok(_) => socket.peer_addr().is_err(),
+            Err(error) => !matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+        }
+    }
+
+    fn reset_on_close(&self) {
+        // On failure, the connection ends as usual.
+        let _ = SockRef::from(&self.0.0).set_linger(Some(Duration::ZERO));
+    }
 }
 
 impl AsyncRead for TcpConnection {
--- a/tests/sockets/hostile_clients.rs
+++ b/tests/sockets/hostile_clients.rs
@@ -1,6 +1,7 @@
 //! Clients that make the sender hold as much as they can, that send without a pause, or that leave.
 use super::handover::take_over_unconfirmed;
 use super::harness::*;
+use super::raw_connections::RawClient;
 use serde_json::json;
 use std::io::{Read, Write};
 use tokio::io::AsyncWriteExt;
@@ -120,3 +121,48 @@
     let served = counts[OTHER_REQUESTS] - counts[0];
     assert!(served <= MAX_RESPONSES, "{served} responses while another client got {OTHER_REQUESTS}");
 }
+
+/// Sends a signal to the process of `node`.
+fn signal(node: &Node, name: &str) {
+    let kill = format!("kill -{name} {}", node.pid());
+    assert!(std::process::Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+}
+
+/// Guards against sending messages of clients that had closed their connections before the process read the
+/// requests, and against a second effect when such a client submits its message again elsewhere.
+#[tokio::test]
+async fn unread_requests_on_closed_connections_are_not_sent() {
+    let (mut endpoint, platform) = (TestServer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[endpoint_entry("s-1", endpoint.address, "single", "SERVING")]).await;
+    let request = |id: &str| RawClient::request_text(id, "unsafe", "");
+    let mut kept = TcpStream::connect(node.address).await.unwrap();
+    kept.write_all(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+    assert_eq!(HttpMessage::read(&mut kept).await.unwrap().status(), 200);
+    signal(&node, "STOP");
+    // The clients are not accepted, or accepted and not read, before they leave.
+    for client in 0..10 {
+        let mut leaving = TcpStream::connect(node.address).await.unwrap();
+        leaving.write_all(request(&format!("left-{client}")).as_bytes()).await.unwrap();
+    }
+    let pipelined: String = (0..10).map(|number| request(&format!("pipelined-{number}"))).collect();
+    kept.write_all(pipelined.as_bytes()).await.unwrap();
+    drop(kept);
+    signal(&node, "CONT");
+    let mut responded = Vec::new();
+    for id in ["left-0", "pipelined-9", "new"] {
+        responded.push(node.submit(id, "unsafe", "").await.status());
+    }
+    assert_eq!(responded, [202, 202, 202]);
+    let mut sent = Vec::new();
+    for _ in 0..3 {
+        let call = endpoint.next_call().await;
+        sent.push(call.id().to_owned());
+        call.ok();
+    }
+    sent.sort();
+    assert_eq!(sent, ["left-0", "new", "pipelined-9"], "only what was submitted again is sent");
+    assert!(
+        endpoint.is_idle_for(std::time::Duration::from_millis(300)).await,
+        "a message was sent without a client"
+    );
+}
