--- a/src/pacing/caution.rs
+++ b/src/pacing/caution.rs
@@ -97,7 +97,9 @@
     let allowed_rate = expected_rate * senders * share * rules.overload_factor;
     let calls = allowed_rate * seconds(rules.overload_window.0);
     let margin = if calls < LARGE_CALL_COUNT { SMALL_COUNT_MARGIN } else { LARGE_COUNT_MARGIN };
-    let accepted = calls + margin * calls.sqrt() + margin;
-    let share = accepted / senders;
-    if share < 1.0 { SMALL_COUNT_MARGIN as usize } else { share.ceil() as usize }
+    let share = (calls + margin * calls.sqrt()) / senders;
+    // What any destination accepts is added only to the smallest shares.
+    let small_share = (share + SMALL_COUNT_MARGIN / senders).ceil().min(SMALL_COUNT_MARGIN);
+    let is_large_fleet = share + SMALL_COUNT_MARGIN / senders < 1.0;
+    if is_large_fleet { SMALL_COUNT_MARGIN as usize } else { share.floor().max(small_share) as usize }
 }
