--- a/src/decision/outcomes.rs
+++ b/src/decision/outcomes.rs
@@ -9,16 +9,6 @@
 /// Weight of a new sample in the fractions that are learned over many routes.
 const POOLED_LEARNING_WEIGHT: f64 = 0.05;
 
-/// The end of a call, as one of its routes records it.
-struct CallEnd {
-    outcome: Outcome,
-    report: Option<LoadReport>,
-    /// Whether the limit of the destination applies to the route.
-    enforces_limit: bool,
-    /// Whether a rejection is explained by that limit.
-    limit_is_spent: bool,
-}
-
 impl DeliveryEngine {
     pub(super) fn attempt_ended(&mut self, event: &Event, actions: &mut Vec<Action>) {
         let Event::AttemptEnded { message: id, attempt, outcome, completes, report, .. } = *event else {
@@ -95,8 +85,6 @@
             }
         }
         let [own, shared] = progress.call.routes;
-        let limit_is_spent =
-            shared.or(own).is_some_and(|slot| self.directory.route(slot).explains_rejection(report));
         let mut recovered = false;
         for slot in [own, shared].into_iter().flatten() {
             let enforces_limit = shared.or(own) == Some(slot);
@@ -104,8 +92,7 @@
                 self.directory.route_mut(slot).in_flight.remove(&active.call);
             }
             if progress.is_first {
-                let end = CallEnd { outcome, report, enforces_limit, limit_is_spent };
-                recovered |= self.record_on_route(slot, &progress.call, &end);
+                recovered |= self.record_on_route(slot, &progress.call, outcome, report);
             }
             // Each message of a batch may carry its own delay; the longest applies.
             if let (Outcome::Rejected { retry_after: Some(delay) }, true) = (outcome, enforces_limit) {
@@ -124,13 +111,21 @@
     }
 
     /// Records the outcome of a call on one of its routes. Returns whether the route recovered.
-    fn record_on_route(&mut self, slot: usize, call: &Call, end: &CallEnd) -> bool {
-        let CallEnd { outcome, report, enforces_limit, limit_is_spent } = *end;
+    fn record_on_route(
+        &mut self,
+        slot: usize,
+        call: &Call,
+        outcome: Outcome,
+        report: Option<LoadReport>,
+    ) -> bool {
+        let [own, shared] = call.routes;
+        let enforcing = shared.or(own).unwrap_or(slot);
+        let limit_is_spent = self.directory.route(enforcing).explains_rejection(report);
         let jitter = self.random_unit();
         let answers_are_lost = self.lost_answer_share > LOST_ANSWER_THRESHOLD;
         let destination = self.directory.destination(self.directory.route(slot).destination);
         let siblings = destination.map_or(1, |destination| destination.endpoints.len());
-        let route_count = if enforces_limit { 1 } else { siblings };
+        let route_count = if enforcing == slot { 1 } else { siblings };
         let sent_at = call.sent_at;
         let observed = ObservedOutcome {
             sent_at,
--- a/src/decision/route.rs
+++ b/src/decision/route.rs
@@ -1,8 +1,8 @@
 //! Updates a route from the outcome of a call: latency, pace, outage detection and recovery.
 
 use super::*;
-use crate::pacing::route::{LEARNING_WEIGHT, ObservedOutcome};
-use crate::pacing::{PaceBounds, mean_trial_offset, min_trial_rate};
+use crate::pacing::route::{LEARNING_WEIGHT, ObservedOutcome, UNEXPLAINED_REMAINING_SHARE};
+use crate::pacing::{PaceBounds, caution::MIN_OUTAGE_WINDOWS, mean_trial_offset, min_trial_rate};
 
 /// Number of consecutive failures that count as an outage.
 const OUTAGE_FAILURES: u32 = 4;
@@ -14,10 +14,6 @@
 const BACKOFF_OVERLOAD_WINDOWS: f64 = 0.25;
 /// Number of consecutive rejections after which the backoff of a route stops doubling.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
-/// An outage lasts longer than this many overload windows. A shorter Retry-After indicates an exceeded limit.
-const MIN_OUTAGE_WINDOWS: f64 = 2.0;
-/// A rejection is not attributed to the limit if at least this fraction of the limit remains.
-const UNEXPLAINED_REMAINING_SHARE: f64 = 0.3;
 
 impl Route {
     /// Returns whether calls are in flight and no answer has come for longer than a healthy one takes.
@@ -61,25 +57,8 @@
         before == Health::Healthy && self.pacer.health != Health::Healthy
     }
 
-    /// Returns whether the limit of the route explains a rejection with this report.
-    pub(super) fn explains_rejection(&self, report: Option<LoadReport>) -> bool {
-        let reported = report.map(|report| report.limit_per_second).filter(|limit| *limit > 0.0);
-        let has_limit = self.enforces_limit && reported.unwrap_or(self.limit) > 0.0;
-        has_limit && report.is_none_or(|report| report.remaining_share < UNEXPLAINED_REMAINING_SHARE)
-    }
-
     fn record_success(&mut self, now: Timestamp, settings: &Settings, bounds: &PaceBounds, jitter: f64) {
-        // If there was an outage, it began after the last success, and may have ended only now.
-        let last_known_up = self.last_success.max(self.created_at);
-        let min_outage = MIN_OUTAGE_WINDOWS * settings.rules.overload_window.0 as f64;
-        let may_have_been_out =
-            self.consecutive_failures > 0 && since(now, last_known_up) as f64 > min_outage;
-        if may_have_been_out {
-            self.pacer.rate = self.rate_at_last_success(now, settings);
-            self.caution.begin_slow_start(now);
-        } else if self.caution.slow_start(now, settings).is_none() {
-            self.caution.clear();
-        }
+        self.update_caution(now, settings);
         (self.consecutive_failures, self.consecutive_rejections, self.last_success) = (0, 0, now);
         let pacer = &mut self.pacer;
         pacer.failure_share -= LEARNING_WEIGHT * pacer.failure_share;
--- a/src/pacing/caution.rs
+++ b/src/pacing/caution.rs
@@ -15,6 +15,9 @@
 /// The same for a large number of calls.
 const LARGE_COUNT_MARGIN: f64 = 2.0;
 
+/// An outage lasts longer than this many overload windows. A shorter Retry-After indicates an exceeded limit.
+pub(crate) const MIN_OUTAGE_WINDOWS: f64 = 2.0;
+
 /// The caution on one route.
 #[derive(Clone, Default)]
 pub(crate) struct Caution {
--- a/src/pacing/mod.rs
+++ b/src/pacing/mod.rs
@@ -3,7 +3,7 @@
 //! All senders of the fleet share the limit of a route without coordinating. Each uses an equal share of it,
 //! and more if the last load report showed spare capacity. As the destination gets the sum of what all
 //! senders send, shares must be computed so that the sum stays below the limit for any fleet size.
-mod caution;
+pub(crate) mod caution;
 pub(crate) mod pacer;
 pub(crate) mod route;
 
--- a/src/pacing/route.rs
+++ b/src/pacing/route.rs
@@ -3,7 +3,7 @@
 //! A route holds observations (latency, consecutive failures, the last reported limit) and its pacer. This
 //! module stores the state and advances it in time; `src/decision/route.rs` updates it from the outcomes of
 //! calls.
-use super::caution::Caution;
+use super::caution::{Caution, MIN_OUTAGE_WINDOWS};
 use super::pacer::RATE_WINDOW_SECONDS;
 use super::{Health, PaceBounds, Pacer};
 use crate::interface::{after, seconds, since};
@@ -13,6 +13,8 @@
 
 /// A call is overdue when its latency exceeds the mean by this many mean deviations.
 pub(crate) const OVERDUE_DEVIATIONS: f64 = 4.0;
+/// A rejection is not attributed to the limit if at least this fraction of the limit remains.
+pub(crate) const UNEXPLAINED_REMAINING_SHARE: f64 = 0.3;
 /// Weight of a new sample in a learned mean.
 pub(crate) const LEARNING_WEIGHT: f64 = 0.2;
 
@@ -111,6 +113,13 @@
         PaceBounds::new(self.limit, self.route_count, self.enforces_limit, self.remaining_share, settings)
     }
 
+    /// Returns whether the limit of the route explains a rejection with this report.
+    pub(crate) fn explains_rejection(&self, report: Option<LoadReport>) -> bool {
+        let reported = report.map(|report| report.limit_per_second).filter(|limit| *limit > 0.0);
+        let has_limit = self.enforces_limit && reported.unwrap_or(self.limit) > 0.0;
+        has_limit && report.is_none_or(|report| report.remaining_share < UNEXPLAINED_REMAINING_SHARE)
+    }
+
     /// Returns the state of the pacer at `now`.
     pub(crate) fn pacer_at(&self, now: Timestamp, settings: &Settings) -> Pacer {
         if self.pacer.updated_at == now {
@@ -172,6 +181,19 @@
         self.consecutive_failures > 0 || self.caution.slow_start(now, settings).is_some()
     }
 
+    /// Begins the limit of a slow start if the call that succeeds at `now` may end an outage, or else ends the
+    /// limit of a failure. If there was an outage, it began after the last success, and may have ended only now.
+    pub(crate) fn update_caution(&mut self, now: Timestamp, settings: &Settings) {
+        let last_known_up = self.last_success.max(self.created_at);
+        let min_outage = MIN_OUTAGE_WINDOWS * settings.rules.overload_window.0 as f64;
+        if self.consecutive_failures > 0 && since(now, last_known_up) as f64 > min_outage {
+            self.pacer.rate = self.rate_at_last_success(now, settings);
+            self.caution.begin_slow_start(now);
+        } else if self.caution.slow_start(now, settings).is_none() {
+            self.caution.clear();
+        }
+    }
+
     /// Returns whether a call at `now` is permitted although the route may have had an outage.
     pub(crate) fn permits_cautious_call(&self, now: Timestamp, settings: &Settings) -> bool {
         !self.needs_caution(now, settings)
